--- a/src/bin/linnetpoint-simhost.rs
+++ b/src/bin/walnuthatch-simhost.rs
@@ -2,14 +2,14 @@
 //! standard output. Instances share nothing but the numbered lists of offices.
 #![forbid(unsafe_code)]
 
-use linnetpoint::control::Controller;
-use linnetpoint::interface::{Action, Event, Micros, ReportField, Settings};
-use linnetpoint::wire::{self, Lists, Reader, Record, Reply, WireError};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
+use walnuthatch::protocol::simulator::{self as wire, Lists, Reader, Record, Reply, WireError};
+use walnuthatch::routing::control::Controller;
+use walnuthatch::routing::interface::{Action, Event, Micros, ReportField, Settings};
 
 #[derive(Debug, thiserror::Error)]
 enum HostError {
@@ -32,7 +32,7 @@
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("linnetpoint-simhost: {e}");
+            eprintln!("walnuthatch-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,14 @@
-//! Routing and admission decisions for the call servers of a private voice network.
+//! A session controller for the trunk groups between small exchanges.
 //!
-//! [`control::Controller`] takes [`interface::Event`]s and gives [`interface::Action`]s. It has no clock,
-//! no threads and does no input or output: the call server that embeds it brings all of these.
-//! [`wire`] translates the simulator's frames to and from that interface.
+//! The layers, each of which uses only those named before it:
+//! [`routing`] decides and keeps the books, [`protocol`] has the wire formats and the states of connections
+//! without input or output, [`transport`] has the sockets, and [`program`] puts them together.
 #![forbid(unsafe_code)]
 
-pub mod control;
-pub mod interface;
-pub mod wire;
+pub mod program;
+pub mod protocol;
+pub mod routing;
+pub mod transport;
 
 /// The README's example, run as a test.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/program/counters.rs
@@ -0,0 +1,79 @@
+//! Counters of what the program takes in, sends and answers.
+
+use crate::protocol::callers::CallerCounts;
+use crate::protocol::exchanges::LinkCounts;
+use crate::routing::ledger::Tally;
+
+/// What the task that owns routing counts itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WireCounts {
+    /// Messages in.
+    pub messages_in: u64,
+    /// Messages out.
+    pub messages_out: u64,
+    /// Lines that were no messages.
+    pub malformed: u64,
+    /// Connections cut since their peer did not take what was sent.
+    pub overflows: u64,
+    /// Callers' connections taken in.
+    pub accepted: u64,
+    /// Callers' connections closed since too many were open.
+    pub turned_away: u64,
+    /// Events of the coordinator.
+    pub list_events: u64,
+    /// Events of the coordinator that could not be used.
+    pub bad_list_events: u64,
+    /// Times that the coordinator's stream was lost.
+    pub stream_losses: u64,
+    /// Peers' messages in.
+    pub peers_in: u64,
+    /// Peers' messages out.
+    pub peers_out: u64,
+}
+
+/// All counters as names and values, in a fixed order.
+pub fn table(w: &WireCounts, t: &Tally, c: &CallerCounts, l: &LinkCounts) -> Vec<(String, u64)> {
+    let mut out: Vec<(String, u64)> = [
+        ("calls.offered", t.offered),
+        ("calls.stood", t.stood),
+        ("calls.refused", t.refused),
+        ("calls.failed", t.failed),
+        ("calls.abandoned", t.abandoned),
+        ("calls.cut", t.cut),
+        ("attempts.sent", t.attempts),
+        ("wire.messages_in", w.messages_in),
+        ("wire.messages_out", w.messages_out),
+        ("wire.malformed", w.malformed),
+        ("wire.overflows", w.overflows),
+        ("callers.accepted", w.accepted),
+        ("callers.turned_away", w.turned_away),
+        ("callers.unusable", c.unusable),
+        ("callers.repeated", c.repeated),
+        ("callers.stray", c.stray),
+        ("callers.unexpected", c.unexpected),
+        ("callers.undeliverable", c.undeliverable),
+        ("exchanges.connects", l.connects),
+        ("exchanges.refused", l.refused),
+        ("exchanges.broken", l.broken),
+        ("exchanges.late_answers", l.late_answers),
+        ("exchanges.stray", l.stray),
+        ("exchanges.found_cut", l.found_cut),
+        ("list.events", w.list_events),
+        ("list.bad_events", w.bad_list_events),
+        ("list.stream_losses", w.stream_losses),
+        ("peers.in", w.peers_in),
+        ("peers.out", w.peers_out),
+    ]
+    .into_iter()
+    .map(|(name, value)| (name.to_owned(), value))
+    .collect();
+    out.extend(t.endings.iter().map(|(name, &n)| (format!("attempts.{name}"), n)));
+    out.extend(t.held_back.iter().map(|(why, &n)| (format!("held_back.{why:?}").to_lowercase(), n)));
+    out
+}
+
+/// The counters that are not 0, on one line.
+pub fn line(table: &[(String, u64)]) -> String {
+    let told: Vec<String> = table.iter().filter(|c| c.1 > 0).map(|(n, v)| format!("{n}={v}")).collect();
+    told.join(" ")
+}
--- /dev/null
+++ b/src/program/run.rs
@@ -0,0 +1,140 @@
+//! Wiring: opens the sockets, starts their tasks, and runs the task that owns routing to its end.
+
+use super::clock::Clock;
+use super::config::{self, Config, ConfigError};
+use super::counters;
+use super::switchboard::{Switchboard, Task};
+use crate::routing::interface::Micros;
+use crate::transport::{coordinator, datagrams, signals, streams, Inbound};
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::rc::Rc;
+
+/// News that may wait for the task that owns routing; socket tasks wait when it is full.
+const INBOX: usize = 1024;
+/// News taken in one turn, so that deadlines are swept however much comes.
+const TURN: usize = 256;
+/// Datagrams that may wait to be sent; more are lost, as datagrams may be.
+const DATAGRAMS: usize = 256;
+/// The longest message between peers.
+const PEER_LONGEST: usize = 256;
+
+const HELP: &str = "walnuthatch: a session controller for the trunk groups between small exchanges
+usage: walnuthatch [--config FILE] [--console] [--check]
+  --config FILE  the configuration, in place of the file that ROUTER_CONFIG names
+  --console      read line commands from standard input
+  --check        check the configuration and end";
+
+/// Why the program ended with an error.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The configuration is not usable.
+    #[error("configuration: {0}")]
+    Config(#[from] ConfigError),
+    /// An address can't be listened on.
+    #[error("{key}: cannot listen on {address}: {why}")]
+    Listen {
+        /// The key that named it.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        why: io::Error,
+    },
+}
+
+/// Runs the program with this command line to its end.
+pub fn main(words: impl Iterator<Item = String>) -> Result<(), RunError> {
+    let arguments = config::arguments(words)?;
+    if arguments.help {
+        println!("{HELP}");
+        return Ok(());
+    }
+    let config = config::load(&arguments, |name| std::env::var(name).ok())?;
+    if arguments.check {
+        println!("the configuration of {} is good", config.name);
+        return Ok(());
+    }
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(serve(config, executor.clone())))
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), RunError> {
+    let clock = Clock::start();
+    let listen = |key, address| move |why| RunError::Listen { key, address, why };
+    let listener = Async::<TcpListener>::bind(config.listen).map_err(listen("listen", config.listen))?;
+    let (inbox, news) = bounded(INBOX);
+    let (peers, peer_queue) = bounded(DATAGRAMS);
+    if let Some(address) = config.peer_listen {
+        let socket = Async::<UdpSocket>::bind(address).map_err(listen("peer_listen", address))?;
+        let made = |from, body| Inbound::Peer { from, body };
+        executor.spawn(datagrams::serve(socket, PEER_LONGEST, peer_queue, inbox.clone(), made)).detach();
+    }
+    let stop = inbox.clone();
+    executor
+        .spawn(async move {
+            if let Err(e) = signals::watch(stop).await {
+                eprintln!("walnuthatch: signals: {e}");
+            }
+        })
+        .detach();
+    if let Some(address) = config.coordinator {
+        executor.spawn(coordinator::follow(address, config.known_index, inbox.clone())).detach();
+    }
+    let ears = streams::listen(listener, executor.clone(), inbox.clone());
+    executor.spawn(async move { drop(ears.await) }).detach();
+    let board = Switchboard::new(&config, clock.now());
+    let board = route(board, clock, news, inbox, peers, &executor).await;
+    eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
+    Ok(())
+}
+
+/// The task that owns routing: waits for news or the next deadline, takes in what has come, sweeps.
+async fn route(
+    mut board: Switchboard,
+    clock: Clock,
+    news: Receiver<Inbound>,
+    inbox: Sender<Inbound>,
+    peers: Sender<datagrams::Outgoing>,
+    executor: &LocalExecutor<'static>,
+) -> Switchboard {
+    loop {
+        for task in board.take_tasks() {
+            match task {
+                Task::Connect(conn, address, outbox) => {
+                    executor.spawn(streams::open(address, conn, outbox, inbox.clone())).detach();
+                }
+                // A full queue loses the datagram.
+                Task::Peer(to, body) => drop(peers.try_send((to, body))),
+                Task::Refetch => {}
+            }
+        }
+        let first = wait(&clock, board.next_deadline(), &news).await;
+        let more = std::iter::from_fn(|| news.try_recv().ok()).take(TURN);
+        for item in first.into_iter().chain(more) {
+            board.take(clock.now(), item);
+        }
+        board.sweep(clock.now());
+        if board.finished(clock.now()) {
+            return board;
+        }
+    }
+}
+
+async fn wait(clock: &Clock, until: Option<Micros>, news: &Receiver<Inbound>) -> Option<Inbound> {
+    let item = async { news.recv().await.ok() };
+    match until {
+        None => item.await,
+        Some(at) => {
+            let late = async {
+                Timer::at(clock.instant(at)).await;
+                None
+            };
+            future::or(item, late).await
+        }
+    }
+}
--- /dev/null
+++ b/src/program/switchboard.rs
@@ -0,0 +1,370 @@
+//! The one task's state: it owns the ledger with the decision module in it, the fronts, the links and every
+//! deadline. News comes in, [`Switchboard::turn`] settles it, and lines go to the connections' outboxes.
+
+use super::config::Config;
+use super::counters::{self, WireCounts};
+use crate::protocol::callers::{Ask, Callers, ToCaller};
+use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
+use crate::protocol::json_lines::{Kind, Message, Sid};
+use crate::protocol::membership::{Place, Roster};
+use crate::protocol::ConnId;
+use crate::routing::deadlines::Deadlines;
+use crate::routing::interface::{CallId, ListNews, Micros, OfficeId, PeerNo};
+use crate::routing::ledger::{FrontId, Ledger, LedgerDue, Output};
+use crate::transport::outbox::Outbox;
+use crate::transport::{ConnNews, Inbound, Side};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// The platform's front.
+pub const LINES: FrontId = FrontId(0);
+/// Callers may hold a third of the descriptors; beyond this share of them connections are closed.
+const CALLERS_SHARE: usize = 2;
+/// A test passes this long after the start even if an exchange has not been heard of (µs).
+const SETTLE: Micros = 1_500_000;
+/// After a request to stop, calls are taken at least this long (µs).
+const STOP_WINDOW: Micros = 1_000_000;
+/// After a request to stop, calls that stand are waited for this long (µs).
+const STOP_STANDING: Micros = 8_000_000;
+
+/// Everything that can fall due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The ledger's.
+    Ledger(LedgerDue),
+    /// The links'.
+    Link(LinkDue),
+    /// Look whether the program may end.
+    Stop,
+}
+
+/// What only the transport can do.
+#[derive(Debug)]
+pub enum Task {
+    /// Open a connection to an exchange.
+    Connect(ConnId, SocketAddr, Outbox),
+    /// Send a datagram to peers.
+    Peer(SocketAddr, Vec<u8>),
+    /// Ask the coordinator anew.
+    Refetch,
+}
+
+/// The state of the task that owns routing.
+#[derive(Debug)]
+pub struct Switchboard {
+    ledger: Ledger,
+    callers: Callers,
+    links: Links,
+    roster: Roster,
+    deadlines: Deadlines<Due>,
+    outboxes: HashMap<(Side, ConnId), Outbox>,
+    tasks: Vec<Task>,
+    counts: WireCounts,
+    classes: Vec<String>,
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    most_callers: usize,
+    born: Micros,
+    stopping: Option<Micros>,
+    minted: u64,
+}
+
+impl Switchboard {
+    /// The state at the start, with the list as it was last known.
+    pub fn new(config: &Config, now: Micros) -> Self {
+        let mut board = Switchboard {
+            ledger: Ledger::new(config.settings.clone(), config.seed),
+            callers: Callers::new(LINES, config.classes.clone()),
+            links: Links::new(config.connect_timeout),
+            roster: Roster::new(config.zones.clone()),
+            deadlines: Deadlines::default(),
+            outboxes: HashMap::new(),
+            tasks: Vec::new(),
+            counts: WireCounts::default(),
+            classes: config.classes.clone(),
+            peers: config.peers.clone(),
+            peers_all: config.peers_all,
+            most_callers: config.sockets / CALLERS_SHARE,
+            born: now,
+            stopping: None,
+            minted: config.seed,
+        };
+        for update in &config.known {
+            board.list(now, update, true);
+        }
+        board.settle(now);
+        board
+    }
+
+    /// Takes one piece of news and does all that follows from it.
+    pub fn take(&mut self, now: Micros, news: Inbound) {
+        match news {
+            Inbound::Conn(side, conn, news) => self.conn(now, side, conn, news),
+            Inbound::List(event) => self.list(now, &event.data, false),
+            Inbound::Stream(up) => self.counts.stream_losses += u64::from(!up),
+            Inbound::Peer { from, body } => {
+                if let Some(at) = self.peers.iter().position(|p| *p == from) {
+                    self.counts.peers_in += 1;
+                    self.ledger.peer(now, PeerNo(at as u32), body);
+                }
+            }
+            Inbound::Gateway { .. } | Inbound::Command(_) => {}
+            Inbound::Stop => self.stop(now),
+        }
+        self.settle(now);
+    }
+
+    /// Sweeps the deadlines.
+    pub fn sweep(&mut self, now: Micros) {
+        while let Some(due) = self.deadlines.take_due(now) {
+            match due {
+                Due::Ledger(due) => self.ledger.due(now, due),
+                Due::Link(due) => self.links.due(now, due),
+                Due::Stop => {}
+            }
+            self.settle(now);
+        }
+    }
+
+    /// The earliest deadline.
+    pub fn next_deadline(&self) -> Option<Micros> {
+        self.deadlines.first()
+    }
+
+    /// What the transport is to do.
+    pub fn take_tasks(&mut self) -> Vec<Task> {
+        std::mem::take(&mut self.tasks)
+    }
+
+    /// Whether the program was asked to stop and has answered all that it took.
+    pub fn finished(&self, now: Micros) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let stood = self.ledger.standing_calls() == 0 || now - since >= STOP_STANDING;
+        now - since >= STOP_WINDOW && self.ledger.open_calls() == 0 && stood
+    }
+
+    /// All counters.
+    pub fn counters(&self) -> Vec<(String, u64)> {
+        let (callers, links) = (self.callers.counts(), self.links.counts());
+        counters::table(&self.counts, self.ledger.tally(), &callers, &links)
+    }
+
+    // ---- News ----
+
+    fn stop(&mut self, now: Micros) {
+        if self.stopping.is_none() {
+            self.stopping = Some(now);
+            for at in [STOP_WINDOW, STOP_STANDING] {
+                self.deadlines.add(now + at, Due::Stop);
+            }
+        }
+    }
+
+    fn conn(&mut self, now: Micros, side: Side, conn: ConnId, news: ConnNews) {
+        match (side, news) {
+            (Side::Callers, ConnNews::Accepted(outbox)) => self.accepted(now, conn, outbox),
+            (Side::Exchanges, ConnNews::Connected) => self.links.connected(now, conn),
+            (_, ConnNews::Message(message)) => {
+                self.counts.messages_in += 1;
+                match side {
+                    Side::Callers => self.caller(now, conn, message),
+                    Side::Exchanges => self.links.message(conn, message),
+                }
+            }
+            (_, ConnNews::Bad(_)) => self.counts.malformed += 1,
+            (side, ConnNews::Closed(how)) => {
+                // The one place where an outbox is given back.
+                self.outboxes.remove(&(side, conn));
+                match side {
+                    Side::Callers => {
+                        for call in self.callers.closed(conn) {
+                            self.ledger.caller_left(now, call);
+                        }
+                    }
+                    Side::Exchanges => self.links.closed(now, conn, how),
+                }
+            }
+            (Side::Callers, ConnNews::Connected) | (Side::Exchanges, ConnNews::Accepted(_)) => {}
+        }
+    }
+
+    fn accepted(&mut self, now: Micros, conn: ConnId, outbox: Outbox) {
+        self.counts.accepted += 1;
+        // Guards the descriptor limit: an idle connection makes room, else the new one goes.
+        if self.callers.connections() >= self.most_callers {
+            self.counts.turned_away += 1;
+            match self.callers.idlest().and_then(|c| self.outboxes.get(&(Side::Callers, c))) {
+                Some(idle) => idle.close(),
+                None => return outbox.cut(),
+            }
+        }
+        self.outboxes.insert((Side::Callers, conn), outbox);
+        for m in self.callers.opened(now, conn) {
+            self.tell_caller(m);
+        }
+    }
+
+    fn caller(&mut self, now: Micros, conn: ConnId, message: Message) {
+        match self.callers.message(now, conn, message) {
+            Ask::Offer(sid, key, offer) => {
+                let call = self.ledger.offer(now, *offer);
+                self.callers.taken(conn, sid, key, call);
+            }
+            Ask::Left(call) => self.ledger.caller_left(now, call),
+            Ask::Test(sid) => {
+                let ready = self.links.settled() || now - self.born >= SETTLE;
+                let code = u16::from(ready && self.stopping.is_none());
+                let message = Message { code: Some(code), ..Message::new(Kind::Probed, sid) };
+                self.tell_caller(ToCaller { conn, message });
+            }
+            Ask::Reply(message) => self.tell_caller(ToCaller { conn, message }),
+            Ask::Nothing => {}
+        }
+    }
+
+    fn list(&mut self, now: Micros, json: &str, cached: bool) {
+        self.counts.list_events += 1;
+        let update = match self.roster.read(json, cached) {
+            Ok(update) => update,
+            Err(e) => {
+                self.counts.bad_list_events += 1;
+                return eprintln!("walnuthatch: coordinator: {e}");
+            }
+        };
+        if let ListNews::Changes(e) | ListNews::Complete(e) | ListNews::Cached(e) = &update.news {
+            let complete = !matches!(update.news, ListNews::Changes(_));
+            // The ledger first: the guard on drains must know before anything else is done.
+            self.ledger.list(now, update.news.clone());
+            self.links.list(now, e, &update.places, complete);
+        }
+    }
+
+    // ---- What follows ----
+
+    /// Carries out what the ledger and the links ask for, until neither asks for more.
+    fn settle(&mut self, now: Micros) {
+        loop {
+            let (ledger, links) = (self.ledger.take_outputs(), self.links.take_outputs());
+            if ledger.is_empty() && links.is_empty() {
+                return;
+            }
+            for output in ledger {
+                self.ledger_output(now, output);
+            }
+            for output in links {
+                self.link_output(now, output);
+            }
+        }
+    }
+
+    fn ledger_output(&mut self, now: Micros, output: Output) {
+        match output {
+            Output::SetUp { call, attempt, office, wait } => {
+                if let Some(message) = self.set_up_message(call, wait) {
+                    self.links.set_up(now, (call, attempt), office, message);
+                }
+            }
+            Output::Clear { call, attempt, .. } => self.links.clear(now, call, attempt),
+            Output::Answer { call, answer, .. } => {
+                if let Some(m) = self.callers.answer(call, answer) {
+                    self.tell_caller(m);
+                }
+            }
+            Output::Release { call, cut, .. } => {
+                if let Some(m) = self.callers.release(now, call, cut) {
+                    self.tell_caller(m);
+                }
+            }
+            Output::Probe(office) => self.links.probe(now, office),
+            Output::Tell { to, body } => self.tell_peers(to, body),
+            Output::FetchList => self.tasks.push(Task::Refetch),
+            Output::Log(line) => eprintln!("walnuthatch: {line}"),
+            Output::Wake(at, due) => self.deadlines.add(at, Due::Ledger(due)),
+        }
+    }
+
+    fn link_output(&mut self, now: Micros, output: LinkOutput) {
+        match output {
+            LinkOutput::Connect(conn, Place { address, .. }) => {
+                let outbox = Outbox::default();
+                self.outboxes.insert((Side::Exchanges, conn), outbox.clone());
+                self.tasks.push(Task::Connect(conn, address, outbox));
+            }
+            LinkOutput::Send { conn, message, set_up } => {
+                self.send(Side::Exchanges, conn, set_up, &message);
+            }
+            LinkOutput::TakeBack { conn, call, message } => {
+                let outbox = self.outboxes.get(&(Side::Exchanges, conn));
+                if !outbox.is_some_and(|o| o.take_back(call)) {
+                    self.send(Side::Exchanges, conn, None, &message);
+                }
+            }
+            LinkOutput::HangUp(conn) => {
+                if let Some(outbox) = self.outboxes.get(&(Side::Exchanges, conn)) {
+                    outbox.cut();
+                }
+            }
+            LinkOutput::Wake(at, due) => self.deadlines.add(at, Due::Link(due)),
+            LinkOutput::Answered(call, attempt, text) => {
+                if !self.ledger.answered(now, call, attempt, text) {
+                    self.links.clear(now, call, attempt);
+                }
+            }
+            LinkOutput::Ended(call, attempt, how, load) => {
+                self.ledger.ended(now, call, attempt, how, load);
+            }
+            LinkOutput::Group(office, load) => self.ledger.group(now, office, load),
+            LinkOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
+        }
+    }
+
+    fn set_up_message(&mut self, call: CallId, wait: Micros) -> Option<Message> {
+        let offer = self.ledger.offer_of(call)?;
+        let class = self.classes.get(offer.ask.class)?.clone();
+        let (sid, key) = match self.callers.particulars(call) {
+            Some(known) => known,
+            None => {
+                // A call of another front has no name on this wire yet.
+                self.minted = self.minted.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                (Sid(self.minted), None)
+            }
+        };
+        let mut message =
+            Message::new(Kind::Open, Some(sid)).with("class", class).with("left", (wait / 1000).to_string());
+        if let Some(key) = key {
+            message.attrs.insert("key".to_owned(), key);
+        }
+        message.text = offer.description.clone();
+        Some(message)
+    }
+
+    fn tell_caller(&mut self, m: ToCaller) {
+        self.send(Side::Callers, m.conn, None, &m.message);
+    }
+
+    fn send(&mut self, side: Side, conn: ConnId, set_up: Option<CallId>, message: &Message) {
+        let Some(outbox) = self.outboxes.get(&(side, conn)) else { return };
+        self.counts.messages_out += 1;
+        if !outbox.push(set_up, message.line()) {
+            // Guards this task and its memory against a peer that does not read.
+            self.counts.overflows += 1;
+            outbox.cut();
+        }
+    }
+
+    fn tell_peers(&mut self, to: Option<PeerNo>, body: Vec<u8>) {
+        let address = match to {
+            Some(peer) => self.peers.get(peer.0 as usize).copied(),
+            None => self.peers_all,
+        };
+        if let Some(address) = address.filter(|_| body.len() <= 256) {
+            self.counts.peers_out += 1;
+            self.tasks.push(Task::Peer(address, body));
+        }
+    }
+
+    /// Offices on the list, for the console.
+    pub fn offices(&self) -> impl Iterator<Item = OfficeId> + '_ {
+        self.links.views().map(|v| v.0)
+    }
+}
--- /dev/null
+++ b/src/protocol/exchanges.rs
@@ -0,0 +1,565 @@
+//! The connections toward the exchanges and the set-ups on them, as states without input or output.
+//!
+//! One connection is kept to each exchange on the list: its group's state comes on it unasked. A connection
+//! owns the set-ups that wait for an answer on it; a call that stands is owned by none.
+
+use super::json_lines::{cause, Kind, Message, Sid};
+use super::membership::Place;
+use super::ConnId;
+use crate::routing::interface::{
+    AttemptNo, CallId, Cause, Ending, ListEntry, ListState, LoadReport, Micros, OfficeId,
+};
+use crate::routing::ledger::Description;
+use std::collections::{BTreeMap, HashMap};
+
+/// First and longest wait before a lost connection is tried again (µs).
+const RETRY: (Micros, Micros) = (100_000, 1_000_000);
+/// A removed exchange has this long to end its calls in words (µs).
+const GONE_GRACE: Micros = 1_000_000;
+/// A release that no connection could carry is kept for this long (µs).
+const OWED_FOR: Micros = 30_000_000;
+/// A probe without an answer has failed after this (µs).
+const PROBE_WAIT: Micros = 300_000;
+
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Closing {
+    /// It was refused: nobody listens there.
+    Refused,
+    /// It never came up for another reason, or not in time.
+    NotMade,
+    /// The far side ended it in order.
+    Ended,
+    /// It broke.
+    Broken,
+    /// This side ended it.
+    Ours,
+}
+
+/// What a deadline of the links is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkDue {
+    /// A connection ought to be up by now.
+    Connect(ConnId),
+    /// Try to connect again.
+    Retry(OfficeId),
+    /// A set-up has waited long enough for a connection.
+    Waiting(CallId, AttemptNo),
+    /// A removed exchange has had its time.
+    Gone(OfficeId),
+    /// A probe has had its time.
+    Probe(Sid),
+}
+
+/// What is to be done, or was learnt.
+#[derive(Debug, PartialEq)]
+pub enum LinkOutput {
+    /// Open a connection.
+    Connect(ConnId, Place),
+    /// Send a message; `set_up` names the call whose set-up this is.
+    Send {
+        /// On which connection.
+        conn: ConnId,
+        /// The message.
+        message: Message,
+        /// The call that it sets up.
+        set_up: Option<CallId>,
+    },
+    /// Give up a set-up, unless its line has not left yet: then it must not leave at all.
+    TakeBack {
+        /// On which connection.
+        conn: ConnId,
+        /// The call.
+        call: CallId,
+        /// What to send if the set-up has left.
+        message: Message,
+    },
+    /// End a connection.
+    HangUp(ConnId),
+    /// Come back then.
+    Wake(Micros, LinkDue),
+    /// A set-up was answered.
+    Answered(CallId, AttemptNo, Option<Description>),
+    /// An attempt ended, or a call that stood is over.
+    Ended(CallId, AttemptNo, (Ending, Cause), LoadReport),
+    /// Figures of an exchange.
+    Group(OfficeId, LoadReport),
+    /// A probe failed.
+    ProbeFailed(OfficeId),
+}
+
+/// Counts of what was odd.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LinkCounts {
+    /// Connections asked for.
+    pub connects: u64,
+    /// Connections that were refused.
+    pub refused: u64,
+    /// Connections that broke.
+    pub broken: u64,
+    /// Answers to set-ups that had been given up; each was released.
+    pub late_answers: u64,
+    /// Messages about calls that are not known here.
+    pub stray: u64,
+    /// Calls taken as cut since their exchange was found dead.
+    pub found_cut: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// For a connection.
+    Waiting,
+    /// Its set-up went out on this connection.
+    Sent(ConnId),
+    Standing,
+}
+
+#[derive(Debug)]
+struct Leg {
+    call: CallId,
+    attempt: AttemptNo,
+    office: OfficeId,
+    stage: Stage,
+    began: Micros,
+    /// The set-up, while it waits.
+    message: Option<Message>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Line {
+    Down,
+    Connecting(ConnId),
+    Up(ConnId),
+}
+
+#[derive(Debug)]
+struct Link {
+    place: Place,
+    state: ListState,
+    started: Option<Micros>,
+    line: Line,
+    retry: Micros,
+    retry_due: Option<Micros>,
+    /// The last connection broke, and what became of the exchange is not known yet.
+    doubt: bool,
+    /// It was connected and spoke, or could not be connected, at least once.
+    settled: bool,
+    /// Releases that no connection could carry, and until when they are kept.
+    owed: Vec<(Micros, Sid)>,
+}
+
+/// All links.
+#[derive(Debug)]
+pub struct Links {
+    links: BTreeMap<OfficeId, Link>,
+    conns: HashMap<ConnId, OfficeId>,
+    legs: HashMap<Sid, Leg>,
+    sids: HashMap<CallId, Sid>,
+    probes: HashMap<Sid, OfficeId>,
+    connect_timeout: Micros,
+    next_conn: u64,
+    next_probe: u64,
+    out: Vec<LinkOutput>,
+    counts: LinkCounts,
+}
+
+impl Links {
+    /// No links yet. A connection that is not up after `connect_timeout` was not made.
+    pub fn new(connect_timeout: Micros) -> Self {
+        Links {
+            links: BTreeMap::new(),
+            conns: HashMap::new(),
+            legs: HashMap::new(),
+            sids: HashMap::new(),
+            probes: HashMap::new(),
+            connect_timeout,
+            next_conn: 0,
+            next_probe: 0,
+            out: Vec::new(),
+            counts: LinkCounts::default(),
+        }
+    }
+
+    /// What is to be done, in order.
+    pub fn take_outputs(&mut self) -> Vec<LinkOutput> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> LinkCounts {
+        self.counts
+    }
+
+    /// Whether each exchange in service has been heard of, or proved out of reach.
+    pub fn settled(&self) -> bool {
+        self.links.values().all(|l| l.settled || l.state != ListState::Ready)
+    }
+
+    /// Whether this office is reached by these links.
+    pub fn has(&self, office: OfficeId) -> bool {
+        self.links.contains_key(&office)
+    }
+
+    /// The links, for the console: office, place, state, whether connected.
+    pub fn views(&self) -> impl Iterator<Item = (OfficeId, &Place, ListState, bool)> + '_ {
+        self.links.iter().map(|(&o, l)| (o, &l.place, l.state, matches!(l.line, Line::Up(_))))
+    }
+
+    // ---- The list ----
+
+    /// Entries of the list; `complete`: exchanges missing from them are gone.
+    pub fn list(&mut self, now: Micros, entries: &[ListEntry], places: &[Place], complete: bool) {
+        for (e, place) in entries.iter().zip(places) {
+            self.entry(now, e, place);
+        }
+        if complete {
+            let missing: Vec<OfficeId> =
+                self.links.keys().copied().filter(|o| !entries.iter().any(|e| e.office == *o)).collect();
+            missing.into_iter().for_each(|o| self.gone(now, o));
+        }
+    }
+
+    fn entry(&mut self, now: Micros, e: &ListEntry, place: &Place) {
+        if e.state == ListState::Gone {
+            return self.gone(now, e.office);
+        }
+        let fresh = || Link {
+            place: place.clone(),
+            state: e.state,
+            started: e.last_start,
+            line: Line::Down,
+            retry: RETRY.0,
+            retry_due: None,
+            doubt: false,
+            settled: false,
+            owed: Vec::new(),
+        };
+        let link = self.links.entry(e.office).or_insert_with(fresh);
+        let restarted = e.last_start.is_some() && e.last_start != link.started;
+        link.state = e.state;
+        link.started = e.last_start;
+        if e.state == ListState::Draining {
+            // A set-up that waits for a connection could leave after the grace.
+            self.fail_waiting(e.office);
+        }
+        if restarted {
+            // What stood at the old process went down with it.
+            let start = e.last_start.unwrap_or(now);
+            self.cut_standing(e.office, |leg| leg.began < start);
+        }
+        if self.links.get(&e.office).is_some_and(|l| l.line == Line::Down && l.retry_due.is_none()) {
+            self.connect(now, e.office);
+        }
+    }
+
+    fn gone(&mut self, now: Micros, office: OfficeId) {
+        let Some(link) = self.links.get_mut(&office) else { return };
+        if link.state != ListState::Gone {
+            link.state = ListState::Gone;
+            self.fail_waiting(office);
+            self.out.push(LinkOutput::Wake(now + GONE_GRACE, LinkDue::Gone(office)));
+        }
+    }
+
+    /// The one place where a link is given back.
+    fn drop_link(&mut self, office: OfficeId) {
+        self.fail_waiting(office);
+        self.reset_sent(office);
+        self.cut_standing(office, |_| true);
+        let Some(link) = self.links.remove(&office) else { return };
+        if let Line::Connecting(conn) | Line::Up(conn) = link.line {
+            self.conns.remove(&conn);
+            self.out.push(LinkOutput::HangUp(conn));
+        }
+    }
+
+    // ---- Connections ----
+
+    fn connect(&mut self, now: Micros, office: OfficeId) {
+        let Some(link) = self.links.get_mut(&office) else { return };
+        if link.line != Line::Down {
+            return;
+        }
+        let conn = ConnId(self.next_conn);
+        self.next_conn += 1;
+        link.line = Line::Connecting(conn);
+        link.retry_due = None;
+        self.conns.insert(conn, office);
+        self.counts.connects += 1;
+        self.out.push(LinkOutput::Connect(conn, link.place.clone()));
+        self.out.push(LinkOutput::Wake(now + self.connect_timeout, LinkDue::Connect(conn)));
+    }
+
+    /// A connection is up.
+    pub fn connected(&mut self, now: Micros, conn: ConnId) {
+        let Some(&office) = self.conns.get(&conn) else { return };
+        let Some(link) = self.links.get_mut(&office) else { return };
+        link.line = Line::Up(conn);
+        link.retry = RETRY.0;
+        link.doubt = false;
+        for (until, sid) in std::mem::take(&mut link.owed) {
+            if now < until {
+                let message = Message::close(sid, cause::NORMAL);
+                self.out.push(LinkOutput::Send { conn, message, set_up: None });
+            }
+        }
+        for leg in self.legs.values_mut().filter(|l| l.office == office && l.stage == Stage::Waiting) {
+            if let Some(message) = leg.message.take() {
+                leg.stage = Stage::Sent(conn);
+                self.out.push(LinkOutput::Send { conn, message, set_up: Some(leg.call) });
+            }
+        }
+    }
+
+    /// A connection is no more.
+    pub fn closed(&mut self, now: Micros, conn: ConnId, how: Closing) {
+        let Some(office) = self.conns.remove(&conn) else { return };
+        let Some(link) = self.links.get_mut(&office) else { return };
+        let was_up = matches!(link.line, Line::Up(_));
+        link.line = Line::Down;
+        link.settled = true;
+        match how {
+            Closing::Refused => {
+                self.counts.refused += 1;
+                // Nobody listens: the process that had the calls is dead, and with a connection of its own
+                // lost it can tell no more.
+                let dead = std::mem::take(&mut link.doubt);
+                self.fail_waiting(office);
+                if dead {
+                    self.cut_standing(office, |_| true);
+                }
+            }
+            Closing::NotMade => self.fail_waiting(office),
+            Closing::Ended | Closing::Ours => self.reset_sent(office),
+            Closing::Broken => {
+                self.counts.broken += 1;
+                link.doubt = true;
+                self.reset_sent(office);
+            }
+        }
+        let Some(link) = self.links.get_mut(&office) else { return };
+        if link.state == ListState::Gone {
+            return self.drop_link(office);
+        }
+        if was_up {
+            // An end in order with calls standing may be a process that stops.
+            link.doubt |= how == Closing::Ended;
+            self.connect(now, office);
+        } else {
+            let due = now + link.retry;
+            link.retry_due = Some(due);
+            link.retry = (link.retry * 2).min(RETRY.1);
+            self.out.push(LinkOutput::Wake(due, LinkDue::Retry(office)));
+        }
+    }
+
+    /// A deadline has come.
+    pub fn due(&mut self, now: Micros, due: LinkDue) {
+        match due {
+            LinkDue::Connect(conn) => {
+                let office = self.conns.get(&conn).copied();
+                let link = office.and_then(|o| self.links.get(&o));
+                if link.is_some_and(|l| l.line == Line::Connecting(conn)) {
+                    self.out.push(LinkOutput::HangUp(conn));
+                    self.closed(now, conn, Closing::NotMade);
+                }
+            }
+            LinkDue::Retry(office) => {
+                if self.links.get(&office).is_some_and(|l| l.retry_due.is_some_and(|at| at <= now)) {
+                    self.connect(now, office);
+                }
+            }
+            LinkDue::Waiting(call, attempt) => {
+                let waits = |l: &Leg| l.attempt == attempt && l.stage == Stage::Waiting;
+                if self.leg_of(call).is_some_and(waits) {
+                    self.end_leg(call, (Ending::Unreachable, Cause::None), LoadReport::default());
+                }
+            }
+            LinkDue::Gone(office) => {
+                if self.links.get(&office).is_some_and(|l| l.state == ListState::Gone) {
+                    self.drop_link(office);
+                }
+            }
+            LinkDue::Probe(sid) => {
+                if let Some(office) = self.probes.remove(&sid) {
+                    self.out.push(LinkOutput::ProbeFailed(office));
+                }
+            }
+        }
+    }
+
+    // ---- Calls ----
+
+    /// Sends a set-up, or keeps it until there is a connection.
+    pub fn set_up(
+        &mut self,
+        now: Micros,
+        (call, attempt): (CallId, AttemptNo),
+        office: OfficeId,
+        message: Message,
+    ) {
+        let Some(sid) = message.sid else { return };
+        let line = self.links.get(&office).map(|l| l.line);
+        let leg = Leg { call, attempt, office, stage: Stage::Waiting, began: now, message: None };
+        self.sids.insert(call, sid);
+        match line {
+            Some(Line::Up(conn)) => {
+                self.legs.insert(sid, Leg { stage: Stage::Sent(conn), ..leg });
+                self.out.push(LinkOutput::Send { conn, message, set_up: Some(call) });
+            }
+            Some(Line::Connecting(_) | Line::Down) => {
+                self.legs.insert(sid, Leg { message: Some(message), ..leg });
+                let until = now + self.connect_timeout;
+                self.out.push(LinkOutput::Wake(until, LinkDue::Waiting(call, attempt)));
+                self.connect(now, office);
+            }
+            None => {
+                self.legs.insert(sid, leg);
+                self.end_leg(call, (Ending::Unreachable, Cause::None), LoadReport::default());
+            }
+        }
+    }
+
+    /// Gives a set-up up, or releases a call that stands.
+    pub fn clear(&mut self, now: Micros, call: CallId, attempt: AttemptNo) {
+        if self.leg_of(call).is_none_or(|l| l.attempt != attempt) {
+            return;
+        }
+        let Some((sid, leg)) = self.remove_leg(call) else { return };
+        let message = Message::close(sid, cause::NORMAL);
+        let Some(link) = self.links.get_mut(&leg.office) else { return };
+        match (leg.stage, link.line) {
+            (Stage::Waiting, _) => {}
+            (Stage::Sent(conn), _) => self.out.push(LinkOutput::TakeBack { conn, call, message }),
+            (Stage::Standing, Line::Up(conn)) => {
+                self.out.push(LinkOutput::Send { conn, message, set_up: None });
+            }
+            (Stage::Standing, _) => link.owed.push((now + OWED_FOR, sid)),
+        }
+    }
+
+    /// Asks an exchange for a report.
+    pub fn probe(&mut self, now: Micros, office: OfficeId) {
+        let Some(Line::Up(conn)) = self.links.get(&office).map(|l| l.line) else {
+            return self.out.push(LinkOutput::ProbeFailed(office));
+        };
+        let sid = Sid(self.next_probe);
+        self.next_probe += 1;
+        self.probes.insert(sid, office);
+        let message = Message { code: Some(1), ..Message::new(Kind::Probe, Some(sid)) };
+        self.out.push(LinkOutput::Send { conn, message, set_up: None });
+        self.out.push(LinkOutput::Wake(now + PROBE_WAIT, LinkDue::Probe(sid)));
+    }
+
+    /// A message from an exchange.
+    pub fn message(&mut self, conn: ConnId, message: Message) {
+        let Some(&office) = self.conns.get(&conn) else { return };
+        let load = message.load();
+        if let Some(link) = self.links.get_mut(&office) {
+            link.settled = true;
+        }
+        // What comes on another exchange's connection, or for an attempt that is over, is not this leg's.
+        let leg = message.sid.and_then(|s| self.legs.get_mut(&s)).filter(|l| l.office == office);
+        match (message.kind, leg) {
+            (Kind::Ready, Some(leg)) => {
+                if matches!(leg.stage, Stage::Sent(_)) {
+                    leg.stage = Stage::Standing;
+                    let (call, attempt) = (leg.call, leg.attempt);
+                    self.group(office, load);
+                    self.out.push(LinkOutput::Answered(call, attempt, message.text));
+                }
+            }
+            (Kind::Ready, None) => {
+                // Guards against circuits that stay taken: the set-up was given up while its answer was on
+                // the way.
+                self.counts.late_answers += 1;
+                if let Some(sid) = message.sid {
+                    let message = Message::close(sid, cause::NORMAL);
+                    self.out.push(LinkOutput::Send { conn, message, set_up: None });
+                }
+            }
+            (Kind::Close, Some(leg)) => {
+                let stood = leg.stage == Stage::Standing;
+                let how = closing(stood, message.code, message.field("note").as_deref());
+                let call = leg.call;
+                self.end_leg(call, how, load);
+            }
+            (Kind::Status, _) => self.group(office, load),
+            (Kind::Probed, _) => match message.sid.and_then(|s| self.probes.remove(&s)) {
+                Some(office) if message.code == Some(0) => self.out.push(LinkOutput::ProbeFailed(office)),
+                _ => self.group(office, load),
+            },
+            (Kind::Close, None) => {
+                self.counts.stray += 1;
+                self.group(office, load);
+            }
+            (Kind::Open | Kind::Probe, _) => self.counts.stray += 1,
+            (Kind::Trying | Kind::Closed, _) => {}
+        }
+    }
+
+    // ---- Within ----
+
+    fn group(&mut self, office: OfficeId, load: LoadReport) {
+        if load != LoadReport::default() {
+            self.out.push(LinkOutput::Group(office, load));
+        }
+    }
+
+    fn leg_of(&self, call: CallId) -> Option<&Leg> {
+        self.legs.get(self.sids.get(&call)?)
+    }
+
+    /// The one place where a leg is given back.
+    fn remove_leg(&mut self, call: CallId) -> Option<(Sid, Leg)> {
+        let sid = self.sids.remove(&call)?;
+        Some((sid, self.legs.remove(&sid)?))
+    }
+
+    fn end_leg(&mut self, call: CallId, how: (Ending, Cause), load: LoadReport) {
+        if let Some((_, leg)) = self.remove_leg(call) {
+            self.out.push(LinkOutput::Ended(call, leg.attempt, how, load));
+        }
+    }
+
+    fn end_legs(&mut self, office: OfficeId, how: Ending, which: impl Fn(&Leg) -> bool) -> usize {
+        let of = |l: &&Leg| l.office == office && which(l);
+        let mut calls: Vec<CallId> = self.legs.values().filter(of).map(|l| l.call).collect();
+        calls.sort_unstable();
+        calls.iter().for_each(|&c| self.end_leg(c, (how, Cause::None), LoadReport::default()));
+        calls.len()
+    }
+
+    fn fail_waiting(&mut self, office: OfficeId) {
+        self.end_legs(office, Ending::Unreachable, |l| l.stage == Stage::Waiting);
+    }
+
+    fn reset_sent(&mut self, office: OfficeId) {
+        self.end_legs(office, Ending::Reset, |l| matches!(l.stage, Stage::Sent(_)));
+    }
+
+    fn cut_standing(&mut self, office: OfficeId, which: impl Fn(&Leg) -> bool) {
+        let cut = self.end_legs(office, Ending::Reset, |l| l.stage == Stage::Standing && which(l));
+        self.counts.found_cut += cut as u64;
+    }
+}
+
+/// What a release from an exchange means, before and after the answer.
+fn closing(stood: bool, code: Option<u16>, note: Option<&str>) -> (Ending, Cause) {
+    let why = match note {
+        Some("no_path") => Cause::NoCircuit,
+        Some("sent_back") => Cause::TurnedBack,
+        Some("end_queue_long") => Cause::FarProcessorFull,
+        Some("queue_long") => Cause::ProcessorFull(None),
+        Some("line_taken") => Cause::LinesBusy,
+        _ => Cause::None,
+    };
+    let ending = match (stood, code) {
+        (true, Some(cause::NORMAL)) => Ending::Completed,
+        (true, _) | (false, Some(cause::TEMPORARY_FAILURE)) => Ending::Reset,
+        (false, Some(cause::NO_CIRCUIT)) => Ending::Full,
+        (false, Some(cause::TIMER_EXPIRY)) => Ending::NotSent,
+        (false, _) => Ending::Fault,
+    };
+    (ending, why)
+}
--- /dev/null
+++ b/src/protocol/json_lines.rs
@@ -0,0 +1,280 @@
+//! The platform's messages: one JSON object a line.
+
+use crate::routing::interface::{LoadReport, Micros};
+use crate::routing::ledger::Description;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// The longest message, without its line feed.
+pub const LONGEST: usize = 16 * 1024;
+
+/// The type of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A set-up.
+    Open,
+    /// Progress; means nothing.
+    Trying,
+    /// An answer: the call stands.
+    Ready,
+    /// A refusal, a set-up given up, or the release of a call that stands.
+    Close,
+    /// A release was heard.
+    Closed,
+    /// A test.
+    Probe,
+    /// The result of a test.
+    Probed,
+    /// The state of a group.
+    Status,
+}
+
+/// The name of a call: sixteen hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Sid(pub u64);
+
+impl Sid {
+    /// Reads sixteen hexadecimal digits; capitals are no part of the form, since the name goes back as it was.
+    pub fn parse(text: &str) -> Option<Sid> {
+        let lower = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        let good = text.len() == 16 && text.bytes().all(lower);
+        good.then(|| u64::from_str_radix(text, 16).ok().map(Sid)).flatten()
+    }
+}
+
+impl fmt::Display for Sid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for Sid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Sid({self})")
+    }
+}
+
+/// Release causes, by their ITU-T Q.850 numbers.
+pub mod cause {
+    /// Normal clearing; before the answer: the set-up is given up.
+    pub const NORMAL: u16 = 16;
+    /// User busy.
+    pub const USER_BUSY: u16 = 17;
+    /// No circuit available.
+    pub const NO_CIRCUIT: u16 = 34;
+    /// Temporary failure.
+    pub const TEMPORARY_FAILURE: u16 = 41;
+    /// Resource unavailable.
+    pub const RESOURCE_UNAVAILABLE: u16 = 47;
+    /// Service or option not implemented.
+    pub const NOT_IMPLEMENTED: u16 = 79;
+    /// Recovery on timer expiry.
+    pub const TIMER_EXPIRY: u16 = 102;
+}
+
+/// Why a line is no message.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LineError {
+    /// It is longer than a message may be.
+    #[error("longer than {LONGEST} bytes")]
+    TooLong,
+    /// It is not the JSON of a message.
+    #[error("not a message: {0}")]
+    Malformed(String),
+    /// Its call is not named by sixteen hexadecimal digits.
+    #[error("bad sid")]
+    BadSid,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Its type.
+    pub kind: Kind,
+    /// The call, or the test, that it is about; a group's state may be about none.
+    pub sid: Option<Sid>,
+    /// Its fields.
+    pub attrs: BTreeMap<String, Value>,
+    /// The cause.
+    pub code: Option<u16>,
+    /// The description.
+    pub text: Option<Description>,
+}
+
+#[derive(Deserialize)]
+struct Incoming {
+    msg: Kind,
+    #[serde(default)]
+    sid: Option<String>,
+    #[serde(default)]
+    attrs: Option<BTreeMap<String, Value>>,
+    #[serde(default)]
+    code: Option<u16>,
+    #[serde(default)]
+    text: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Outgoing<'a> {
+    msg: Kind,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    sid: Option<String>,
+    attrs: &'a BTreeMap<String, Value>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    code: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+}
+
+impl Message {
+    /// A message without fields.
+    pub fn new(kind: Kind, sid: Option<Sid>) -> Message {
+        Message { kind, sid, attrs: BTreeMap::new(), code: None, text: None }
+    }
+
+    /// A release, refusal or giving up.
+    pub fn close(sid: Sid, code: u16) -> Message {
+        Message { code: Some(code), ..Message::new(Kind::Close, Some(sid)) }
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, name: &str, value: impl Into<Value>) -> Message {
+        self.attrs.insert(name.to_owned(), value.into());
+        self
+    }
+
+    /// Reads a line, without its line feed.
+    pub fn parse(line: &[u8]) -> Result<Message, LineError> {
+        let raw: Incoming = serde_json::from_slice(line).map_err(|e| LineError::Malformed(e.to_string()))?;
+        let sid = match raw.sid.as_deref() {
+            None if raw.kind_needs_sid() => return Err(LineError::BadSid),
+            None | Some("") if !raw.kind_needs_sid() => None,
+            Some(text) => Some(Sid::parse(text).ok_or(LineError::BadSid)?),
+            None => None,
+        };
+        let attrs = raw.attrs.unwrap_or_default();
+        let plain = |v: &Value| v.is_string() || v.is_number();
+        if let Some((name, _)) = attrs.iter().find(|(_, v)| !plain(v)) {
+            return Err(LineError::Malformed(format!("field {name} is neither a string nor a number")));
+        }
+        let text = raw.text.map(|t| Description(t.into()));
+        Ok(Message { kind: raw.msg, sid, attrs, code: raw.code, text })
+    }
+
+    /// The line, with its line feed.
+    pub fn line(&self) -> Vec<u8> {
+        let text = self.text.as_ref().map(|t| &*t.0);
+        let sid = self.sid.map(|s| s.to_string());
+        let out = Outgoing { msg: self.kind, sid, attrs: &self.attrs, code: self.code, text };
+        // Strings and numbers under string keys always have a JSON form.
+        let mut line = serde_json::to_vec(&out).unwrap_or_default();
+        line.push(b'\n');
+        line
+    }
+
+    /// A field as text, be it a string or a number.
+    pub fn field(&self, name: &str) -> Option<String> {
+        match self.attrs.get(name)? {
+            Value::String(s) => Some(s.clone()),
+            Value::Number(n) => Some(n.to_string()),
+            _ => None,
+        }
+    }
+
+    /// A field in milliseconds.
+    pub fn millis(&self, name: &str) -> Option<Micros> {
+        let ms: f64 = self.field(name)?.trim().parse().ok()?;
+        (ms.is_finite() && ms >= 0.0).then_some((ms.min(1e9) * 1000.0) as Micros)
+    }
+
+    /// The load report that it carries.
+    pub fn load(&self) -> LoadReport {
+        self.field("load").map_or_else(LoadReport::default, |text| load_report(&text))
+    }
+}
+
+impl Incoming {
+    fn kind_needs_sid(&self) -> bool {
+        !matches!(self.msg, Kind::Status | Kind::Probed | Kind::Probe)
+    }
+}
+
+/// Splits `a:1;b:2` into its pairs.
+pub fn pairs(text: &str) -> impl Iterator<Item = (&str, f64)> {
+    let pair = |p: &'_ str| -> Option<(usize, f64)> {
+        let at = p.find(':')?;
+        p[at + 1..].trim().parse().ok().filter(|v: &f64| v.is_finite()).map(|v| (at, v))
+    };
+    text.split(';').filter_map(move |p| pair(p).map(|(at, v)| (p[..at].trim(), v)))
+}
+
+/// Reads a load report. Figures below 0 were not told; names that are unknown are passed over.
+pub fn load_report(text: &str) -> LoadReport {
+    let mut r = LoadReport::default();
+    for (name, value) in pairs(text).filter(|p| p.1 >= 0.0) {
+        match name {
+            "x0" | "spare" => r.free = Some(value),
+            "x1" | "total" => r.size = Some(value),
+            "inflight" | "active" => r.active = Some(value),
+            "queue" | "waiting" => r.waiting = Some(value),
+            "util" | "cpu" => r.busy = Some(value),
+            "latency_ms" | "avg_ms" => r.wait = Some((value.min(1e9) * 1000.0) as Micros),
+            "qps" | "allowed" => r.allowed = Some(value),
+            "eps" | "cut_by" => r.cut_by = Some(value),
+            _ => {}
+        }
+    }
+    r
+}
+
+/// Cuts a stream of bytes into lines. Guards against a line without an end: what is longer than a message is
+/// dropped up to its line feed, so that it costs its sender this one line and never more memory than that.
+#[derive(Debug, Default)]
+pub struct LineSplitter {
+    rest: Vec<u8>,
+    /// Dropping the remainder of a line that is too long.
+    dropping: bool,
+}
+
+impl LineSplitter {
+    /// Adds bytes and gives each line that they complete; empty lines are passed over.
+    pub fn push(&mut self, mut bytes: &[u8], mut each: impl FnMut(Result<&[u8], LineError>)) {
+        while let Some(at) = bytes.iter().position(|&b| b == b'\n') {
+            let (head, tail) = bytes.split_at(at);
+            bytes = &tail[1..];
+            if std::mem::take(&mut self.dropping) {
+                continue;
+            }
+            if self.rest.len() + head.len() > LONGEST + 1 {
+                self.rest.clear();
+                each(Err(LineError::TooLong));
+                continue;
+            }
+            let whole = if self.rest.is_empty() {
+                head
+            } else {
+                self.rest.extend_from_slice(head);
+                &self.rest
+            };
+            let line = whole.strip_suffix(b"\r").unwrap_or(whole);
+            match line.len() {
+                0 => {}
+                n if n > LONGEST => each(Err(LineError::TooLong)),
+                _ => each(Ok(line)),
+            }
+            self.rest.clear();
+        }
+        if self.dropping {
+            return;
+        }
+        if self.rest.len() + bytes.len() > LONGEST + 1 {
+            self.rest = Vec::new();
+            self.dropping = true;
+            return each(Err(LineError::TooLong));
+        }
+        self.rest.extend_from_slice(bytes);
+    }
+}
--- /dev/null
+++ b/src/protocol/membership.rs
@@ -0,0 +1,137 @@
+//! The coordinator's list of exchanges: the JSON of its events, and the names that the core uses for the
+//! exchanges in it.
+
+use crate::routing::interface::{ExchangeNo, ListEntry, ListNews, ListState, OfficeId};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Why an event of the coordinator could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    /// It is not the JSON of an event.
+    #[error("not a list event: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The address of a member is none.
+    #[error("member {0}: bad address {1:?}")]
+    Address(String, String),
+}
+
+#[derive(Debug, Deserialize)]
+struct Event {
+    #[serde(default)]
+    index: Option<u64>,
+    endpoints: Endpoints,
+}
+
+#[derive(Debug, Deserialize)]
+struct Endpoints {
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<Member>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Member {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    cell: u16,
+    #[serde(default)]
+    phase: Phase,
+    #[serde(default)]
+    up_since_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Phase {
+    #[default]
+    Up,
+    Draining,
+    Removed,
+}
+
+/// What a member of the list is called and where it is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The coordinator's name of it.
+    pub member: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// News of the list, with the places of the members that it names.
+#[derive(Debug)]
+pub struct Update {
+    /// The event's number, if it bears one.
+    pub index: Option<u64>,
+    /// For the core.
+    pub news: ListNews,
+    /// Where the members are, in the order of the entries.
+    pub places: Vec<Place>,
+}
+
+/// Gives each member a name of the core's kind. An exchange that is new may have the address of one that has
+/// gone, so that the address can't be the name.
+#[derive(Debug, Default)]
+pub struct Roster {
+    names: BTreeMap<String, OfficeId>,
+    next: u32,
+    zones: Vec<String>,
+    begun: bool,
+}
+
+impl Roster {
+    /// A roster that knows the names of the zones, in their order.
+    pub fn new(zones: Vec<String>) -> Self {
+        Roster { zones, ..Roster::default() }
+    }
+
+    fn office(&mut self, member: &str) -> OfficeId {
+        if let Some(&office) = self.names.get(member) {
+            return office;
+        }
+        self.next += 1;
+        let office = OfficeId { addr: self.next.to_be_bytes(), port: 0 };
+        self.names.insert(member.to_owned(), office);
+        office
+    }
+
+    /// Reads the JSON of an event. `cached`: it is from before the start, maybe old.
+    pub fn read(&mut self, json: &str, cached: bool) -> Result<Update, ListError> {
+        let event: Event = serde_json::from_str(json)?;
+        let mut entries = Vec::with_capacity(event.endpoints.members.len());
+        let mut places = Vec::with_capacity(event.endpoints.members.len());
+        for m in event.endpoints.members {
+            let address = m.host_port.parse();
+            let address = address.map_err(|_| ListError::Address(m.id.clone(), m.host_port.clone()))?;
+            let zone = self.zones.iter().position(|z| *z == m.locality).unwrap_or(0).min(255) as u8;
+            let state = match m.phase {
+                Phase::Up => ListState::Ready,
+                Phase::Draining => ListState::Draining,
+                Phase::Removed => ListState::Gone,
+            };
+            let last_start = (m.up_since_ms > 0.0).then_some((m.up_since_ms * 1000.0) as i64);
+            let (exchange, office) = (ExchangeNo(m.cell), self.office(&m.id));
+            entries.push(ListEntry { exchange, zone, state, office, last_start });
+            places.push(Place { member: m.id, address });
+        }
+        let complete = event.endpoints.complete || !self.begun;
+        self.begun = true;
+        let news = match (complete, cached) {
+            (false, _) => ListNews::Changes(entries.into()),
+            (true, false) => ListNews::Complete(entries.into()),
+            (true, true) => ListNews::Cached(entries.into()),
+        };
+        Ok(Update { index: event.index, news, places })
+    }
+
+    /// Drops the names of members that are gone for good.
+    pub fn forget(&mut self, gone: impl Fn(OfficeId) -> bool) {
+        self.names.retain(|_, office| !gone(*office));
+    }
+}
--- a/src/wire.rs
+++ b/src/protocol/simulator.rs
@@ -1,7 +1,7 @@
-//! The simulator's frames and settings text, to and from [`crate::interface`]. Pure translation: total on
+//! The simulator's frames and settings text, to and from [`crate::routing::interface`]. Pure translation: total on
 //! any bytes, and no decision is made here.
 
-use crate::interface::*;
+use crate::routing::interface::*;
 use bytes::{Buf, BufMut};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- /dev/null
+++ b/src/protocol/text_settings.rs
@@ -0,0 +1,55 @@
+//! Turns the settings' nested JSON into the path=value lines that [`super::simulator::settings`] reads, so
+//! that there is one reader of settings.
+
+use serde_json::Value;
+use std::fmt::Write;
+
+/// The lines of a settings object.
+pub fn flatten(settings: &Value) -> String {
+    let mut out = String::new();
+    walk("", settings, &mut out);
+    out
+}
+
+fn plain(v: &Value) -> String {
+    match v {
+        Value::String(s) => s.replace([' ', ',', '\n'], "_"),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+fn walk(path: &str, v: &Value, out: &mut String) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    // Writing to a string can't fail.
+    let mut line = |key: &str, text: &str| {
+        let _ = writeln!(out, "{key}={text}");
+    };
+    match v {
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| walk(&under(k), v, out)),
+        Value::Array(items) if items.iter().any(|i| i.is_object() || i.is_array()) => {
+            line(&under("count"), &items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| walk(&under(&i.to_string()), v, out));
+        }
+        Value::Array(items) => line(path, &items.iter().map(plain).collect::<Vec<_>>().join(",")),
+        other => line(path, &plain(other)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nested_settings_read_as_the_simulators_lines() {
+        let json = serde_json::json!({
+            "classes": [{"name": "status report", "aim": 1200.0, "giveUp": 9000}],
+            "extra": {"shape": "meshed", "ownExchange": 0, "classHold": [10400.0]},
+            "report": {"fields": ["spare", "total"]}, "parties": [], "limits": {"peers": true}
+        });
+        let s = crate::protocol::simulator::settings(&flatten(&json)).unwrap();
+        assert_eq!((s.classes[0].aim, s.classes[0].hold, s.may_tell), (1_200_000, 10_400_000, true));
+        assert_eq!((s.own.map(|o| o.0), s.report_fields.len()), (Some(0), 2));
+        assert!(flatten(&json).contains("classes.0.name=status_report"));
+    }
+}
--- a/src/control.rs
+++ b/src/routing/control.rs
@@ -1,9 +1,9 @@
-//! Every decision of linnetpoint. The types, events and actions are in `src/interface.rs`.
+//! Every decision of walnuthatch. The types, events and actions are in `src/routing/interface.rs`.
 //!
 //! A call goes direct until the direct group is full, then through the next tandem in turn that accepts and
 //! keeps headroom on its first leg, else it is refused: see [`Controller::route`].
 
-use crate::interface::*;
+use crate::routing::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Load (share of a full processor) below which a tandem accepts and a processor passes transit on: the
--- a/src/interface.rs
+++ b/src/routing/interface.rs
@@ -6,7 +6,7 @@
 pub type Micros = i64;
 
 /// One call (or one try of a caller), as the call server names it. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u32);
 
 /// The running number of a set-up attempt of one call, from 0.
--- /dev/null
+++ b/src/routing/ledger.rs
@@ -0,0 +1,523 @@
+//! The call ledger: owns every call from its acceptance to its one final answer and, if it stands, to its
+//! release. It drives the decision module and keeps the rules whatever front a call came in by.
+//!
+//! Each rule has one place: one final answer ([`Ledger::finish`]), one attempt out, the drain limit and the
+//! quiet period ([`Ledger::start`]).
+
+use super::control::Controller;
+use super::interface::*;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// An attempt ends this long before its caller gives up, so that the final answer is still in time (µs).
+const ATTEMPT_EARLY: Micros = 40_000;
+/// A call without an answer is failed this long before its caller gives up, whatever the module says (µs).
+const ANSWER_EARLY: Micros = 20_000;
+
+/// The front a call came in by; means nothing to the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FrontId(pub u8);
+
+/// A session description, carried unchanged from one side to the other.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Description(pub Rc<str>);
+
+/// A call as a front offers it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// The front that is owed the answer.
+    pub front: FrontId,
+    /// What the module is told; the ledger gives it its id.
+    pub ask: NewCall,
+    /// The caller's description.
+    pub description: Option<Description>,
+}
+
+/// The one final answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// It stands, with the description that the far side gave.
+    Stands(Option<Description>),
+    /// Refused: trying again is harmless, after the pause.
+    Refused {
+        /// How long the caller ought to keep away; 0: no advice.
+        pause: Micros,
+    },
+    /// Failed.
+    Failed,
+}
+
+/// What a deadline of the ledger is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LedgerDue {
+    /// A timer that the module asked for.
+    Module(u64),
+    /// The time of an attempt is up.
+    Attempt(CallId, AttemptNo),
+    /// The caller is about to give up.
+    Call(CallId),
+}
+
+/// What is to be done on a wire.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a set-up; [`Ledger::offer_of`] has the call's particulars.
+    SetUp {
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// Where to.
+        office: OfficeId,
+        /// How long it will be waited for.
+        wait: Micros,
+    },
+    /// Give up a set-up that is out, or release a call that stands.
+    Clear {
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// Where it went.
+        office: OfficeId,
+    },
+    /// Give the caller its final answer.
+    Answer {
+        /// The front it is owed to.
+        front: FrontId,
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Tell the caller that a call that stood is over.
+    Release {
+        /// The front.
+        front: FrontId,
+        /// The call.
+        call: CallId,
+        /// It did not come to its end by itself.
+        cut: bool,
+    },
+    /// Check an office.
+    Probe(OfficeId),
+    /// Send bytes to one peer, or to all.
+    Tell {
+        /// To whom; `None`: to all.
+        to: Option<PeerNo>,
+        /// The bytes.
+        body: Vec<u8>,
+    },
+    /// Ask for the list anew.
+    FetchList,
+    /// A line for the log.
+    Log(String),
+    /// Come back at this time.
+    Wake(Micros, LedgerDue),
+}
+
+/// Why the ledger held back what the module asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HeldBack {
+    /// Another attempt of the call is out, or the call is over.
+    SecondAttempt,
+    /// The office drains or is gone, for longer than the grace.
+    Drained,
+    /// The quiet period after an unclear end has not passed.
+    Quiet,
+}
+
+/// What the ledger has counted since its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Calls taken.
+    pub offered: u64,
+    /// Calls that stood.
+    pub stood: u64,
+    /// Calls refused.
+    pub refused: u64,
+    /// Calls failed.
+    pub failed: u64,
+    /// Callers that left before an answer.
+    pub abandoned: u64,
+    /// Set-ups sent.
+    pub attempts: u64,
+    /// Set-ups by the way they ended.
+    pub endings: BTreeMap<&'static str, u64>,
+    /// Set-ups held back to keep a rule.
+    pub held_back: BTreeMap<HeldBack, u64>,
+    /// Calls that stood and were cut.
+    pub cut: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// With the module: nothing is out.
+    Deciding,
+    /// A set-up is out.
+    Out { attempt: AttemptNo, office: OfficeId, since: Micros },
+    /// It stands.
+    Standing { attempt: AttemptNo, office: OfficeId, since: Micros },
+}
+
+#[derive(Debug)]
+struct Entry {
+    offer: Offer,
+    deadline: Micros,
+    stage: Stage,
+    attempts: u8,
+    quiet_until: Micros,
+}
+
+/// A line about one call, for the console.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallView {
+    /// The call.
+    pub call: CallId,
+    /// Its front.
+    pub front: FrontId,
+    /// Where it goes.
+    pub destination: ExchangeNo,
+    /// What it is doing.
+    pub doing: &'static str,
+    /// The office that it is at.
+    pub office: Option<OfficeId>,
+    /// Since when.
+    pub since: Option<Micros>,
+}
+
+/// The ledger and the decision module in it.
+#[derive(Debug)]
+pub struct Ledger {
+    controller: Controller,
+    release: Micros,
+    drain_grace: Micros,
+    calls: BTreeMap<CallId, Entry>,
+    /// Offices told to drain or gone, and when that was told; one that was never listed is not here.
+    drains: BTreeMap<OfficeId, Option<Micros>>,
+    next: u32,
+    out: Vec<Output>,
+    tally: Tally,
+    /// Calls not yet answered.
+    open: usize,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Ledger {
+            release: settings.release,
+            drain_grace: settings.drain_grace,
+            controller: Controller::new(settings, seed),
+            calls: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            next: 0,
+            out: Vec::new(),
+            tally: Tally::default(),
+            open: 0,
+        }
+    }
+
+    // ---- What fronts and wires tell ----
+
+    /// Takes a call. From here on it is owed one final answer.
+    pub fn offer(&mut self, now: Micros, mut offer: Offer) -> CallId {
+        let call = CallId(self.next);
+        self.next = self.next.wrapping_add(1);
+        offer.ask.call = call;
+        let ask = offer.ask.clone();
+        let deadline = now.saturating_add(ask.patience.max(0));
+        let entry = Entry { offer, deadline, stage: Stage::Deciding, attempts: 0, quiet_until: 0 };
+        self.calls.insert(call, entry);
+        self.tally.offered += 1;
+        self.open += 1;
+        self.out.push(Output::Wake(deadline - ANSWER_EARLY, LedgerDue::Call(call)));
+        self.drive(now, Event::Call(ask));
+        call
+    }
+
+    /// The caller gave its set-up up, or released its call.
+    pub fn caller_left(&mut self, now: Micros, call: CallId) {
+        let Some(entry) = self.calls.remove(&call) else { return };
+        match entry.stage {
+            Stage::Deciding => {}
+            Stage::Out { attempt, office, .. } | Stage::Standing { attempt, office, .. } => {
+                self.out.push(Output::Clear { call, attempt, office });
+            }
+        }
+        if !matches!(entry.stage, Stage::Standing { .. }) {
+            self.open -= 1;
+            self.tally.abandoned += 1;
+            self.drive(now, Event::CallerGone(call));
+        }
+    }
+
+    /// The set-up that is out was answered. Whether the answer was wanted: one for an attempt that is over
+    /// must be released by the wire that brought it.
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        call: CallId,
+        attempt: AttemptNo,
+        text: Option<Description>,
+    ) -> bool {
+        let Some(entry) = self.calls.get_mut(&call) else { return false };
+        let Stage::Out { attempt: out, office, since } = entry.stage else { return false };
+        if out != attempt {
+            return false;
+        }
+        entry.stage = Stage::Standing { attempt, office, since: now };
+        let front = entry.offer.front;
+        self.open -= 1;
+        self.tally.stood += 1;
+        self.out.push(Output::Answer { front, call, answer: Answer::Stands(text) });
+        self.drive(now, Event::Stands { call, attempt, office, took: now - since });
+        true
+    }
+
+    /// An attempt ended on its wire, or a call that stood is over.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        call: CallId,
+        attempt: AttemptNo,
+        how: (Ending, Cause),
+        report: LoadReport,
+    ) {
+        let (ending, cause) = how;
+        let Some(entry) = self.calls.get_mut(&call) else { return };
+        let (office, since, over) = match entry.stage {
+            Stage::Out { attempt: out, office, since } if out == attempt => (office, since, false),
+            Stage::Standing { attempt: out, office, since } if out == attempt => (office, since, true),
+            _ => return,
+        };
+        if over {
+            let front = entry.offer.front;
+            self.calls.remove(&call);
+            let cut = ending != Ending::Completed;
+            self.tally.cut += u64::from(cut);
+            self.out.push(Output::Release { front, call, cut });
+        } else {
+            entry.stage = Stage::Deciding;
+            if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::CalledOff) {
+                entry.quiet_until = now + self.release;
+            }
+            *self.tally.endings.entry(ending_name(ending)).or_default() += 1;
+        }
+        let took = now - since;
+        let outcome = Outcome { call, attempt, office, ending, cause, took, over, report };
+        self.drive(now, Event::Ended(outcome));
+    }
+
+    /// Figures of an office or of the group toward it.
+    pub fn group(&mut self, now: Micros, office: OfficeId, report: LoadReport) {
+        self.drive(now, Event::Group { office, report });
+    }
+
+    /// A probe got no good answer.
+    pub fn probe_failed(&mut self, now: Micros, office: OfficeId) {
+        self.drive(now, Event::ProbeFailed(office));
+    }
+
+    /// A message from a peer.
+    pub fn peer(&mut self, now: Micros, from: PeerNo, body: Vec<u8>) {
+        self.drive(now, Event::Peer { from, body });
+    }
+
+    /// News of the list of offices.
+    pub fn list(&mut self, now: Micros, news: ListNews) {
+        match &news {
+            ListNews::Failed => {}
+            ListNews::Changes(entries) => self.note_states(now, entries),
+            ListNews::Complete(entries) | ListNews::Cached(entries) => {
+                for (office, told) in &mut self.drains {
+                    if !entries.iter().any(|e| e.office == *office) {
+                        told.get_or_insert(now);
+                    }
+                }
+                self.note_states(now, entries);
+            }
+        }
+        // What is long gone and has no call at it needs no more guard: the module knows it no more either.
+        let forgotten = |told: &Option<Micros>| told.is_some_and(|t| now - t > 600_000_000);
+        self.drains.retain(|_, told| !forgotten(told));
+        self.drive(now, Event::List(news));
+    }
+
+    /// A deadline of this ledger has come.
+    pub fn due(&mut self, now: Micros, due: LedgerDue) {
+        match due {
+            LedgerDue::Module(token) => self.drive(now, Event::Timer(token)),
+            LedgerDue::Attempt(call, attempt) => {
+                self.stop_attempt(now, call, attempt, Ending::TimedOut);
+            }
+            LedgerDue::Call(call) => {
+                let Some(entry) = self.calls.get(&call) else { return };
+                match entry.stage {
+                    Stage::Standing { .. } => return,
+                    Stage::Out { attempt, .. } => self.stop_attempt(now, call, attempt, Ending::TimedOut),
+                    Stage::Deciding => {}
+                }
+                // Guards against a module that holds a call past its caller's patience.
+                if self.finish(call, Answer::Failed) {
+                    self.drive(now, Event::CallerGone(call));
+                }
+            }
+        }
+    }
+
+    /// What is to be done, in order.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    // ---- What may be asked ----
+
+    /// The call as it was offered, while it is open or stands.
+    pub fn offer_of(&self, call: CallId) -> Option<&Offer> {
+        self.calls.get(&call).map(|e| &e.offer)
+    }
+
+    /// Calls that are owed an answer.
+    pub fn open_calls(&self) -> usize {
+        self.open
+    }
+
+    /// Calls that stand.
+    pub fn standing_calls(&self) -> usize {
+        self.calls.len() - self.open
+    }
+
+    /// Counts since the start.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// The calls held, oldest first.
+    pub fn views(&self) -> impl Iterator<Item = CallView> + '_ {
+        self.calls.iter().map(|(&call, e)| {
+            let (doing, office, since) = match e.stage {
+                Stage::Deciding => ("waits", None, None),
+                Stage::Out { office, since, .. } => ("set-up out", Some(office), Some(since)),
+                Stage::Standing { office, since, .. } => ("stands", Some(office), Some(since)),
+            };
+            let (front, destination) = (e.offer.front, e.offer.ask.destination);
+            CallView { call, front, destination, doing, office, since }
+        })
+    }
+
+    // ---- Within ----
+
+    fn note_states(&mut self, now: Micros, entries: &[ListEntry]) {
+        for e in entries {
+            let told = self.drains.entry(e.office).or_default();
+            match e.state {
+                ListState::Ready => *told = None,
+                ListState::Draining | ListState::Gone => {
+                    told.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    fn drive(&mut self, now: Micros, event: Event) {
+        let mut actions = Vec::new();
+        self.controller.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::SetUp { call, office, timeout } => self.start(now, call, office, timeout),
+                Action::SetTimer { after, token } => {
+                    self.out.push(Output::Wake(now + after, LedgerDue::Module(token)));
+                }
+                Action::Refuse { call, pause } => drop(self.finish(call, Answer::Refused { pause })),
+                Action::Fail(call) => drop(self.finish(call, Answer::Failed)),
+                Action::CallOff { call, attempt } => {
+                    self.stop_attempt(now, call, attempt, Ending::CalledOff);
+                }
+                Action::Probe(office) => self.out.push(Output::Probe(office)),
+                Action::Tell { to, body } => self.out.push(Output::Tell { to, body }),
+                Action::FetchList | Action::Subscribe => self.out.push(Output::FetchList),
+                Action::Log(line) => self.out.push(Output::Log(line)),
+            }
+        }
+    }
+
+    /// Sends a set-up, unless a rule forbids it: then the module learns that it was not sent.
+    fn start(&mut self, now: Micros, call: CallId, office: OfficeId, timeout: Option<Micros>) {
+        let Some(entry) = self.calls.get_mut(&call) else {
+            *self.tally.held_back.entry(HeldBack::SecondAttempt).or_default() += 1;
+            return;
+        };
+        let attempt = AttemptNo(entry.attempts);
+        entry.attempts = entry.attempts.saturating_add(1);
+        let told = self.drains.get(&office).copied().flatten();
+        let held = if entry.stage != Stage::Deciding {
+            Some(HeldBack::SecondAttempt)
+        } else if told.is_some_and(|t| now - t > self.drain_grace) {
+            Some(HeldBack::Drained)
+        } else if now < entry.quiet_until {
+            Some(HeldBack::Quiet)
+        } else {
+            None
+        };
+        if let Some(why) = held {
+            *self.tally.held_back.entry(why).or_default() += 1;
+            if why != HeldBack::SecondAttempt {
+                let (ending, cause) = (Ending::NotSent, Cause::None);
+                let report = LoadReport::default();
+                let o = Outcome { call, attempt, office, ending, cause, took: 0, over: false, report };
+                self.drive(now, Event::Ended(o));
+            }
+            return;
+        }
+        let last = entry.deadline - ATTEMPT_EARLY;
+        let until = timeout.map_or(last, |t| last.min(now + t.max(0)));
+        entry.stage = Stage::Out { attempt, office, since: now };
+        self.tally.attempts += 1;
+        self.out.push(Output::SetUp { call, attempt, office, wait: (until - now).max(0) });
+        self.out.push(Output::Wake(until, LedgerDue::Attempt(call, attempt)));
+    }
+
+    /// Gives a set-up up from this side.
+    fn stop_attempt(&mut self, now: Micros, call: CallId, attempt: AttemptNo, ending: Ending) {
+        let Some(entry) = self.calls.get(&call) else { return };
+        let Stage::Out { attempt: out, office, .. } = entry.stage else { return };
+        if out == attempt {
+            self.out.push(Output::Clear { call, attempt, office });
+            self.ended(now, call, attempt, (ending, Cause::None), LoadReport::default());
+        }
+    }
+
+    /// The one place where an unanswered call gets its final answer, other than standing.
+    fn finish(&mut self, call: CallId, answer: Answer) -> bool {
+        let Some(entry) = self.calls.get(&call) else { return false };
+        match entry.stage {
+            Stage::Standing { .. } => return false,
+            Stage::Out { attempt, office, .. } => self.out.push(Output::Clear { call, attempt, office }),
+            Stage::Deciding => {}
+        }
+        let front = entry.offer.front;
+        self.calls.remove(&call);
+        self.open -= 1;
+        match answer {
+            Answer::Refused { .. } => self.tally.refused += 1,
+            _ => self.tally.failed += 1,
+        }
+        self.out.push(Output::Answer { front, call, answer });
+        true
+    }
+}
+
+/// The name of an ending, for counters.
+pub fn ending_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Completed => "completed",
+        Ending::Fault => "fault",
+        Ending::Full => "full",
+        Ending::TimedOut => "timed_out",
+        Ending::Unreachable => "unreachable",
+        Ending::Reset => "reset",
+        Ending::CalledOff => "called_off",
+        Ending::NotSent => "not_sent",
+    }
+}
--- /dev/null
+++ b/src/transport/coordinator.rs
@@ -0,0 +1,120 @@
+//! The coordinator's stream of list events.
+
+use super::Inbound;
+use crate::protocol::server_events::{Dechunker, EventReader, StreamError};
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A stream that brings nothing, not even its comment each second, for this long is given up.
+const SILENT: Duration = Duration::from_millis(2_500);
+/// Time to connect and to get the head of the answer.
+const OPENING: Duration = Duration::from_millis(1_500);
+/// Pause before the stream is asked for again.
+const AGAIN: Duration = Duration::from_millis(150);
+/// The longest head of an answer.
+const LONGEST_HEAD: usize = 16 * 1024;
+
+#[derive(Debug, thiserror::Error)]
+enum Lost {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Stream(#[from] StreamError),
+    #[error("the answer is no stream: status {0:?}")]
+    Status(Option<u16>),
+    #[error("the head of the answer can't be read: {0}")]
+    Head(#[from] httparse::Error),
+    #[error("silent")]
+    Silent,
+    #[error("the program ends")]
+    Over,
+}
+
+/// Follows the stream for as long as the program runs, each time from the event after the last one that came.
+pub async fn follow(address: SocketAddr, mut last: u64, inbox: Sender<Inbound>) {
+    loop {
+        let began = Instant::now();
+        match once(address, &mut last, &inbox).await {
+            Err(Lost::Over) => return,
+            Ok(()) => {}
+            Err(e) => eprintln!("walnuthatch: coordinator: {e}"),
+        }
+        if inbox.send(Inbound::Stream(false)).await.is_err() {
+            return;
+        }
+        if began.elapsed() < AGAIN {
+            Timer::after(AGAIN).await;
+        }
+    }
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl std::future::Future<Output = io::Result<T>>,
+) -> Result<T, Lost> {
+    let late = async {
+        Timer::after(limit).await;
+        Err(Lost::Silent)
+    };
+    future::or(async { work.await.map_err(Lost::from) }, late).await
+}
+
+async fn once(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
+    let mut stream = within(OPENING, Async::<TcpStream>::connect(address)).await?;
+    let request = format!(
+        "GET /v2/stream HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
+         Last-Event-ID: {last}\r\nCache-Control: no-cache\r\n\r\n"
+    );
+    within(OPENING, stream.write_all(request.as_bytes())).await?;
+    let mut head = Vec::new();
+    let mut buffer = vec![0; 16 * 1024];
+    let (chunked, body) = loop {
+        let n = within(OPENING, stream.read(&mut buffer)).await?;
+        head.extend_from_slice(&buffer[..n]);
+        let mut headers = [httparse::EMPTY_HEADER; 64];
+        let mut response = httparse::Response::new(&mut headers);
+        if let httparse::Status::Complete(at) = response.parse(&head)? {
+            if response.code != Some(200) {
+                return Err(Lost::Status(response.code));
+            }
+            let coded = |h: &httparse::Header<'_>| {
+                h.name.eq_ignore_ascii_case("transfer-encoding")
+                    && h.value.to_ascii_lowercase().ends_with(b"chunked")
+            };
+            break (response.headers.iter().any(coded), head[at..].to_vec());
+        }
+        if n == 0 || head.len() > LONGEST_HEAD {
+            return Err(Lost::Status(None));
+        }
+    };
+    inbox.send(Inbound::Stream(true)).await.map_err(|_| Lost::Over)?;
+    let (mut chunks, mut reader) = (Dechunker::default(), EventReader::default());
+    let mut bytes = body;
+    loop {
+        let mut events = Vec::new();
+        let over = if chunked {
+            chunks.push(&bytes, |c| reader.push(c, &mut |e| events.push(e)))?
+        } else {
+            reader.push(&bytes, &mut |e| events.push(e))?;
+            false
+        };
+        for event in events {
+            let id = event.id;
+            inbox.send(Inbound::List(event)).await.map_err(|_| Lost::Over)?;
+            *last = id.unwrap_or(*last);
+        }
+        if over {
+            return Ok(());
+        }
+        let n = within(SILENT, stream.read(&mut buffer)).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        bytes.clear();
+        bytes.extend_from_slice(&buffer[..n]);
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,70 @@
+//! Sockets, signals and the queues between them and the task that owns routing.
+//!
+//! Socket tasks reach that task only through one bounded queue of [`Inbound`] news, and wait when it is full.
+//! It reaches them through an [`outbox::Outbox`] for each connection, and never waits.
+
+pub mod coordinator;
+pub mod datagrams;
+pub mod outbox;
+pub mod signals;
+pub mod streams;
+
+use crate::protocol::exchanges::Closing;
+use crate::protocol::json_lines::{LineError, Message};
+use crate::protocol::server_events::ServerEvent;
+use crate::protocol::ConnId;
+use outbox::Outbox;
+use std::net::SocketAddr;
+
+/// Which side of the program a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// Callers connected to it.
+    Callers,
+    /// It was opened toward an exchange.
+    Exchanges,
+}
+
+/// What a connection has to tell.
+#[derive(Debug)]
+pub enum ConnNews {
+    /// A caller connected.
+    Accepted(Outbox),
+    /// The connection that was asked for is up.
+    Connected,
+    /// A message came.
+    Message(Message),
+    /// A line came that is none.
+    Bad(LineError),
+    /// It is no more.
+    Closed(Closing),
+}
+
+/// What reaches the task that owns routing.
+#[derive(Debug)]
+pub enum Inbound {
+    /// News of a connection.
+    Conn(Side, ConnId, ConnNews),
+    /// An event of the coordinator.
+    List(ServerEvent),
+    /// The coordinator's stream came up or was lost.
+    Stream(bool),
+    /// A peer's datagram.
+    Peer {
+        /// Its address.
+        from: SocketAddr,
+        /// Its content.
+        body: Vec<u8>,
+    },
+    /// A gateway's datagram.
+    Gateway {
+        /// Its address.
+        from: SocketAddr,
+        /// Its content.
+        body: Vec<u8>,
+    },
+    /// A line from the console.
+    Command(String),
+    /// The program is asked to stop.
+    Stop,
+}
--- /dev/null
+++ b/src/transport/outbox.rs
@@ -0,0 +1,140 @@
+//! The bounded send queue of one connection.
+
+use crate::routing::interface::CallId;
+use event_listener::Event;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// Bytes that may wait for one connection. What a slow reader has not taken by then costs it the connection.
+pub const CAPACITY: usize = 512 * 1024;
+
+#[derive(Debug, Default)]
+struct Queue {
+    lines: VecDeque<(Option<CallId>, Vec<u8>)>,
+    bytes: usize,
+    /// Nothing more is taken; what waits still goes out.
+    closed: bool,
+    /// The connection is to end at once.
+    cut: bool,
+}
+
+/// A handle to the queue: the task that owns routing puts lines in, the connection's own task takes them out.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    queue: Rc<RefCell<Queue>>,
+    news: Rc<Event>,
+}
+
+impl Outbox {
+    /// Adds a line. `false`: there is no room, and the line was not taken.
+    #[must_use]
+    pub fn push(&self, set_up: Option<CallId>, line: Vec<u8>) -> bool {
+        let mut q = self.queue.borrow_mut();
+        if q.closed || q.cut || q.bytes + line.len() > CAPACITY {
+            return false;
+        }
+        q.bytes += line.len();
+        q.lines.push_back((set_up, line));
+        self.news.notify(usize::MAX);
+        true
+    }
+
+    /// Takes back the set-up of a call that has not begun to leave. Guards the drain limit and the rule of one
+    /// attempt: what still waits behind a slow reader must not reach the exchange after it was given up.
+    pub fn take_back(&self, call: CallId) -> bool {
+        let mut q = self.queue.borrow_mut();
+        let Some(at) = q.lines.iter().position(|l| l.0 == Some(call)) else { return false };
+        let line = q.lines.remove(at);
+        q.bytes -= line.map_or(0, |l| l.1.len());
+        true
+    }
+
+    /// Ends the connection once what waits has gone out.
+    pub fn close(&self) {
+        self.queue.borrow_mut().closed = true;
+        self.news.notify(usize::MAX);
+    }
+
+    /// Ends the connection at once.
+    pub fn cut(&self) {
+        let mut q = self.queue.borrow_mut();
+        q.cut = true;
+        q.lines.clear();
+        q.bytes = 0;
+        self.news.notify(usize::MAX);
+    }
+
+    /// Bytes that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.borrow().bytes
+    }
+
+    /// Waits for lines and takes up to about `most` bytes of them; `None`: the connection is to end.
+    pub async fn take(&self, most: usize) -> Option<Vec<u8>> {
+        loop {
+            let listener = self.news.listen();
+            {
+                let mut q = self.queue.borrow_mut();
+                if q.cut {
+                    return None;
+                }
+                let mut bytes = Vec::new();
+                while bytes.len() < most {
+                    let Some((_, line)) = q.lines.pop_front() else { break };
+                    q.bytes -= line.len();
+                    bytes.extend(line);
+                }
+                if !bytes.is_empty() {
+                    return Some(bytes);
+                }
+                if q.closed {
+                    return None;
+                }
+            }
+            listener.await;
+        }
+    }
+
+    /// Waits until the connection is to end at once.
+    pub async fn until_cut(&self) {
+        loop {
+            let listener = self.news.listen();
+            if self.queue.borrow().cut {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::future::{block_on, poll_once};
+
+    #[test]
+    fn a_full_queue_takes_no_more_and_a_set_up_can_be_taken_back_until_it_leaves() {
+        let o = Outbox::default();
+        assert!(o.push(Some(CallId(1)), b"one\n".to_vec()));
+        assert!(o.push(Some(CallId(2)), b"two\n".to_vec()));
+        assert!(!o.push(None, vec![0; CAPACITY]));
+        assert!(o.take_back(CallId(1)));
+        assert_eq!(block_on(o.take(100)), Some(b"two\n".to_vec()));
+        assert!(!o.take_back(CallId(2)), "it has left");
+        assert_eq!(o.waiting(), 0);
+        o.close();
+        assert!(!o.push(None, vec![0]));
+        assert_eq!(block_on(o.take(100)), None);
+    }
+
+    #[test]
+    fn a_cut_ends_the_wait_and_drops_what_waits() {
+        let o = Outbox::default();
+        assert!(block_on(poll_once(o.until_cut())).is_none());
+        assert!(o.push(None, vec![1]));
+        o.cut();
+        assert_eq!(block_on(o.take(9)), None);
+        block_on(o.until_cut());
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,10 +1,10 @@
 //! The module alone: one small test for each danger, and the five rules on seeded random events.
 
-use linnetpoint::control::Controller;
-use linnetpoint::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
+use walnuthatch::routing::control::Controller;
+use walnuthatch::routing::interface::*;
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
--- a/tests/wire.rs
+++ b/tests/simulator.rs
@@ -1,9 +1,9 @@
 //! The translation on hand-built frames, cut and malformed ones included, and the adapter as a process.
 
-use linnetpoint::interface::*;
-use linnetpoint::wire::{self, Lists, Reader, Record, Reply, WireError};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use walnuthatch::protocol::simulator::{self as wire, Lists, Reader, Record, Reply, WireError};
+use walnuthatch::routing::interface::*;
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
@@ -114,7 +114,7 @@
 }
 
 fn host(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linnetpoint-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_walnuthatch-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
