--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,9 +1,11 @@
 //! The one place where configuration is read, checked and given its defaults. Every error names the key.
 
+use crate::protocol::mgcp::agent::{AgentConfig, AnsweredBy, Gateway};
 use crate::protocol::{simulator, text_settings};
-use crate::routing::interface::{Micros, Settings};
+use crate::routing::interface::{ExchangeNo, Micros, Settings};
+use serde::Deserialize;
 use serde_json::Value;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Why the program does not start.
@@ -46,6 +48,8 @@
     pub console: bool,
     /// The configuration file, in place of `ROUTER_CONFIG`.
     pub config: Option<PathBuf>,
+    /// The gateways' file, in place of `deploy/mgcp.toml`.
+    pub mgcp: Option<PathBuf>,
     /// Only check the configuration.
     pub check: bool,
     /// Print the help and end.
@@ -61,9 +65,10 @@
             "--console" => out.console = true,
             "--check" => out.check = true,
             "--help" | "-h" => out.help = true,
-            "--config" => {
-                let path = words.next().ok_or_else(|| ConfigError::Missing("--config FILE".to_owned()))?;
-                out.config = Some(path.into());
+            "--config" | "--mgcp" => {
+                let path = words.next().ok_or_else(|| ConfigError::Missing(format!("{word} FILE")))?;
+                let place = if word == "--config" { &mut out.config } else { &mut out.mgcp };
+                *place = Some(path.into());
             }
             _ => return Err(ConfigError::Argument(word)),
         }
@@ -102,8 +107,22 @@
     pub zones: Vec<String>,
     /// A connection that is not up after this was not made.
     pub connect_timeout: Micros,
+    /// The front towards gateways, if it is on.
+    pub mgcp: Option<MgcpConfig>,
 }
 
+/// The front towards gateways.
+#[derive(Clone, Debug)]
+pub struct MgcpConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// What the call agent is told.
+    pub agent: AgentConfig,
+}
+
+/// Where the gateways' file lies, from the folder that the program is started in.
+const MGCP_FILE: &str = "deploy/mgcp.toml";
+
 /// Reads the configuration: the file, then the environment's name and address where the file has none.
 pub fn load(arguments: &Arguments, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     let path = arguments.config.clone().or_else(|| env("ROUTER_CONFIG").map(PathBuf::from));
@@ -115,7 +134,117 @@
             object.entry(key).or_insert(Value::String(value));
         }
     }
-    parse(&json)
+    let mut config = parse(&json)?;
+    if let Some(text) = optional("deploy/mgcp.toml", arguments.mgcp.as_deref(), MGCP_FILE)? {
+        config.mgcp = mgcp(&text, &config)?;
+    }
+    Ok(config)
+}
+
+/// The text of a file that need not be there unless it was named.
+fn optional(key: &'static str, named: Option<&Path>, usual: &str) -> Result<Option<String>, ConfigError> {
+    match named {
+        Some(path) => read(key, path).map(Some),
+        None if Path::new(usual).exists() => read(key, Path::new(usual)).map(Some),
+        None => Ok(None),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MgcpFile {
+    #[serde(default)]
+    enabled: bool,
+    listen: Option<String>,
+    class: Option<String>,
+    patience_ms: Option<u32>,
+    digits: Option<usize>,
+    #[serde(default)]
+    gateway: Vec<GatewayFile>,
+    #[serde(default)]
+    route: Vec<RouteFile>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GatewayFile {
+    name: String,
+    address: String,
+    exchange: u16,
+    #[serde(default)]
+    prefix: String,
+    endpoints: Vec<String>,
+    answered_by: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RouteFile {
+    prefix: String,
+    exchange: u16,
+}
+
+/// Checks the gateways' file; `None` where it leaves the front off.
+pub fn mgcp(text: &str, config: &Config) -> Result<Option<MgcpConfig>, ConfigError> {
+    let file: MgcpFile = toml::from_str(text).map_err(|e| bad("mgcp.toml", e.to_string().trim()))?;
+    if !file.enabled {
+        return Ok(None);
+    }
+    let listen = file.listen.ok_or_else(|| ConfigError::Missing("mgcp.listen".to_owned()))?;
+    let listen = loopback("mgcp.listen", &listen)?;
+    let class = file.class.ok_or_else(|| ConfigError::Missing("mgcp.class".to_owned()))?;
+    let position = config.classes.iter().position(|c| *c == class);
+    let class = position.ok_or_else(|| bad("mgcp.class", format!("{class:?} is no class")))?;
+    let patience = file.patience_ms.unwrap_or(3_000);
+    if !(200..=600_000).contains(&patience) {
+        return Err(bad("mgcp.patience_ms", "not from 200 to 600000"));
+    }
+    let digits = file.digits.unwrap_or(4);
+    if !(1..=32).contains(&digits) {
+        return Err(bad("mgcp.digits", "not from 1 to 32"));
+    }
+    let mut gateways: Vec<Gateway> = Vec::new();
+    for (i, g) in file.gateway.into_iter().enumerate() {
+        let key = |name: &str| format!("mgcp.gateway.{i}.{name}");
+        let name = g.name.to_ascii_lowercase();
+        if name.is_empty() || name.contains('@') || gateways.iter().any(|o| o.name == name) {
+            return Err(bad(&key("name"), "empty, with an @, or there twice"));
+        }
+        let exchange = ExchangeNo(g.exchange);
+        if Some(exchange) == config.settings.own || gateways.iter().any(|o| o.exchange == exchange) {
+            return Err(bad(&key("exchange"), "the own exchange, or there twice"));
+        }
+        let mut endpoints: Vec<String> = g.endpoints.iter().map(|e| e.to_ascii_lowercase()).collect();
+        endpoints.sort();
+        endpoints.dedup();
+        let odd = |e: &String| e.is_empty() || e.contains(['@', '*', '$', ' ']);
+        if endpoints.is_empty() || endpoints.len() != g.endpoints.len() || endpoints.iter().any(odd) {
+            return Err(bad(&key("endpoints"), "none, one there twice, or one with @, *, $ or a space"));
+        }
+        let answered_by = match g.answered_by.as_deref() {
+            None | Some("off-hook") => AnsweredBy::OffHook,
+            Some("connection") => AnsweredBy::Connection,
+            Some(_) => return Err(bad(&key("answered_by"), "neither off-hook nor connection")),
+        };
+        let address = loopback(&key("address"), &g.address)?;
+        gateways.push(Gateway { name, address, exchange, prefix: g.prefix, endpoints, answered_by });
+    }
+    if gateways.is_empty() {
+        return Err(ConfigError::Missing("mgcp.gateway".to_owned()));
+    }
+    let routes = file.route.into_iter().map(|r| (r.prefix, ExchangeNo(r.exchange))).collect();
+    let patience = Micros::from(patience) * 1000;
+    let agent = AgentConfig { gateways, routes, digits, class, patience };
+    Ok(Some(MgcpConfig { listen, agent }))
+}
+
+fn loopback(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    let address: SocketAddr =
+        text.parse().map_err(|_| bad(key, format!("{text:?} is no address with a port")))?;
+    match address.ip().is_loopback() {
+        true => Ok(address),
+        false => Err(bad(key, format!("{text:?} is no loopback address"))),
+    }
 }
 
 fn read(key: &'static str, path: &Path) -> Result<String, ConfigError> {
@@ -188,6 +317,7 @@
         classes,
         zones: names("failureDomains"),
         connect_timeout: (connect_timeout * 1000.0) as Micros,
+        mgcp: None,
     })
 }
 
@@ -210,8 +340,3 @@
     let text = v.as_str().ok_or_else(|| bad(key, "not an address"))?;
     text.parse().map_err(|_| bad(key, format!("{text:?} is no address with a port")))
 }
-
-/// Whether an address is one of this machine's own alone.
-pub fn is_loopback(address: IpAddr) -> bool {
-    address.is_loopback()
-}
--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::callers::CallerCounts;
 use crate::protocol::exchanges::LinkCounts;
+use crate::protocol::mgcp::agent::AgentCounts;
 use crate::routing::ledger::Tally;
 
 /// What the task that owns routing counts itself.
@@ -29,6 +30,10 @@
     pub peers_in: u64,
     /// Peers' messages out.
     pub peers_out: u64,
+    /// Datagrams from gateways.
+    pub gateways_in: u64,
+    /// Datagrams to gateways.
+    pub gateways_out: u64,
 }
 
 /// All counters as names and values, in a fixed order.
@@ -63,6 +68,8 @@
         ("list.stream_losses", w.stream_losses),
         ("peers.in", w.peers_in),
         ("peers.out", w.peers_out),
+        ("gateways.in", w.gateways_in),
+        ("gateways.out", w.gateways_out),
     ]
     .into_iter()
     .map(|(name, value)| (name.to_owned(), value))
@@ -72,6 +79,22 @@
     out
 }
 
+/// The call agent's counters.
+pub fn agent_table(a: &AgentCounts, repeats: (u64, u64)) -> Vec<(String, u64)> {
+    let rows = [
+        ("mgcp.commands_in", a.commands_in),
+        ("mgcp.commands_out", a.commands_out),
+        ("mgcp.repeats_out", repeats.0),
+        ("mgcp.repeats_in", repeats.1),
+        ("mgcp.unusable", a.unusable),
+        ("mgcp.unknown_endpoint", a.unknown_endpoint),
+        ("mgcp.late_answers", a.late_answers),
+        ("mgcp.unanswered", a.unanswered),
+        ("mgcp.not_offered", a.not_offered),
+    ];
+    rows.map(|(name, value)| (name.to_owned(), value)).to_vec()
+}
+
 /// The counters that are not 0, on one line.
 pub fn line(table: &[(String, u64)]) -> String {
     let told: Vec<String> = table.iter().filter(|c| c.1 > 0).map(|(n, v)| format!("{n}={v}")).collect();
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -4,6 +4,7 @@
 use super::config::{self, Config, ConfigError};
 use super::counters;
 use super::switchboard::{Switchboard, Task};
+use crate::protocol::mgcp::message;
 use crate::routing::interface::Micros;
 use crate::transport::{coordinator, datagrams, signals, streams, Inbound};
 use async_channel::{bounded, Receiver, Sender};
@@ -24,8 +25,9 @@
 const PEER_LONGEST: usize = 256;
 
 const HELP: &str = "walnuthatch: a session controller for the trunk groups between small exchanges
-usage: walnuthatch [--config FILE] [--console] [--check]
+usage: walnuthatch [--config FILE] [--mgcp FILE] [--console] [--check]
   --config FILE  the configuration, in place of the file that ROUTER_CONFIG names
+  --mgcp FILE    the gateways' file, in place of deploy/mgcp.toml
   --console      read line commands from standard input
   --check        check the configuration and end";
 
@@ -68,12 +70,27 @@
     let listen = |key, address| move |why| RunError::Listen { key, address, why };
     let listener = Async::<TcpListener>::bind(config.listen).map_err(listen("listen", config.listen))?;
     let (inbox, news) = bounded(INBOX);
+    // With port 0 this is the only way to learn where it listens.
+    let said = |what: &str, at: io::Result<SocketAddr>| {
+        if let Ok(at) = at {
+            eprintln!("walnuthatch: {what} at {at}");
+        }
+    };
+    said("callers", listener.get_ref().local_addr());
     let (peers, peer_queue) = bounded(DATAGRAMS);
     if let Some(address) = config.peer_listen {
         let socket = Async::<UdpSocket>::bind(address).map_err(listen("peer_listen", address))?;
         let made = |from, body| Inbound::Peer { from, body };
         executor.spawn(datagrams::serve(socket, PEER_LONGEST, peer_queue, inbox.clone(), made)).detach();
     }
+    let (gateways, gateway_queue) = bounded(DATAGRAMS);
+    if let Some(mgcp) = &config.mgcp {
+        let socket = Async::<UdpSocket>::bind(mgcp.listen).map_err(listen("mgcp.listen", mgcp.listen))?;
+        said("gateways", socket.get_ref().local_addr());
+        let made = |from, body| Inbound::Gateway { from, body };
+        let longest = message::LONGEST;
+        executor.spawn(datagrams::serve(socket, longest, gateway_queue, inbox.clone(), made)).detach();
+    }
     let stop = inbox.clone();
     executor
         .spawn(async move {
@@ -88,7 +105,7 @@
     let ears = streams::listen(listener, executor.clone(), inbox.clone());
     executor.spawn(async move { drop(ears.await) }).detach();
     let board = Switchboard::new(&config, clock.now());
-    let board = route(board, clock, news, inbox, peers, &executor).await;
+    let board = route(board, clock, news, inbox, (peers, gateways), &executor).await;
     eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
     Ok(())
 }
@@ -99,7 +116,7 @@
     clock: Clock,
     news: Receiver<Inbound>,
     inbox: Sender<Inbound>,
-    peers: Sender<datagrams::Outgoing>,
+    (peers, gateways): (Sender<datagrams::Outgoing>, Sender<datagrams::Outgoing>),
     executor: &LocalExecutor<'static>,
 ) -> Switchboard {
     loop {
@@ -110,6 +127,7 @@
                 }
                 // A full queue loses the datagram.
                 Task::Peer(to, body) => drop(peers.try_send((to, body))),
+                Task::Gateway(to, body) => drop(gateways.try_send((to, body))),
                 Task::Refetch => {}
             }
         }
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -7,17 +7,21 @@
 use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{Place, Roster};
+use crate::protocol::mgcp::agent::{Agent, AgentDue, AgentOutput};
 use crate::protocol::ConnId;
 use crate::routing::deadlines::Deadlines;
-use crate::routing::interface::{CallId, ListNews, Micros, OfficeId, PeerNo};
+use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
 use crate::routing::ledger::{FrontId, Ledger, LedgerDue, Output};
 use crate::transport::outbox::Outbox;
 use crate::transport::{ConnNews, Inbound, Side};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 /// The platform's front.
 pub const LINES: FrontId = FrontId(0);
+/// The front towards gateways.
+pub const GATEWAYS: FrontId = FrontId(1);
 /// Callers may hold a third of the descriptors; beyond this share of them connections are closed.
 const CALLERS_SHARE: usize = 2;
 /// A test passes this long after the start even if an exchange has not been heard of (µs).
@@ -34,6 +38,8 @@
     Ledger(LedgerDue),
     /// The links'.
     Link(LinkDue),
+    /// The call agent's.
+    Agent(AgentDue),
     /// Look whether the program may end.
     Stop,
 }
@@ -45,6 +51,8 @@
     Connect(ConnId, SocketAddr, Outbox),
     /// Send a datagram to peers.
     Peer(SocketAddr, Vec<u8>),
+    /// Send a datagram to a gateway.
+    Gateway(SocketAddr, Vec<u8>),
     /// Ask the coordinator anew.
     Refetch,
 }
@@ -55,6 +63,7 @@
     ledger: Ledger,
     callers: Callers,
     links: Links,
+    agent: Option<Agent>,
     roster: Roster,
     deadlines: Deadlines<Due>,
     outboxes: HashMap<(Side, ConnId), Outbox>,
@@ -75,7 +84,8 @@
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
             callers: Callers::new(LINES, config.classes.clone()),
-            links: Links::new(config.connect_timeout),
+            links: Links::new(config.connect_timeout, config.settings.own),
+            agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
             roster: Roster::new(config.zones.clone()),
             deadlines: Deadlines::default(),
             outboxes: HashMap::new(),
@@ -89,6 +99,13 @@
             stopping: None,
             minted: config.seed,
         };
+        let gateways = board.gateway_entries();
+        if !gateways.is_empty() {
+            board.ledger.list(now, ListNews::Cached(gateways.into()));
+        }
+        if let Some(agent) = &mut board.agent {
+            agent.start(now);
+        }
         for update in &config.known {
             board.list(now, update, true);
         }
@@ -108,7 +125,13 @@
                     self.ledger.peer(now, PeerNo(at as u32), body);
                 }
             }
-            Inbound::Gateway { .. } | Inbound::Command(_) => {}
+            Inbound::Gateway { from, body } => {
+                self.counts.gateways_in += 1;
+                if let Some(agent) = &mut self.agent {
+                    agent.datagram(now, from, &body);
+                }
+            }
+            Inbound::Command(_) => {}
             Inbound::Stop => self.stop(now),
         }
         self.settle(now);
@@ -120,6 +143,11 @@
             match due {
                 Due::Ledger(due) => self.ledger.due(now, due),
                 Due::Link(due) => self.links.due(now, due),
+                Due::Agent(due) => {
+                    if let Some(agent) = &mut self.agent {
+                        agent.due(now, due);
+                    }
+                }
                 Due::Stop => {}
             }
             self.settle(now);
@@ -146,7 +174,11 @@
     /// All counters.
     pub fn counters(&self) -> Vec<(String, u64)> {
         let (callers, links) = (self.callers.counts(), self.links.counts());
-        counters::table(&self.counts, self.ledger.tally(), &callers, &links)
+        let mut table = counters::table(&self.counts, self.ledger.tally(), &callers, &links);
+        if let Some(agent) = &self.agent {
+            table.extend(counters::agent_table(&agent.counts(), agent.repeats()));
+        }
+        table
     }
 
     // ---- News ----
@@ -231,21 +263,35 @@
                 return eprintln!("walnuthatch: coordinator: {e}");
             }
         };
-        if let ListNews::Changes(e) | ListNews::Complete(e) | ListNews::Cached(e) = &update.news {
-            let complete = !matches!(update.news, ListNews::Changes(_));
-            // The ledger first: the guard on drains must know before anything else is done.
-            self.ledger.list(now, update.news.clone());
-            self.links.list(now, e, &update.places, complete);
-        }
+        let (entries, complete) = match &update.news {
+            ListNews::Failed => return,
+            ListNews::Changes(e) => (e.clone(), false),
+            ListNews::Complete(e) | ListNews::Cached(e) => (e.clone(), true),
+        };
+        // The coordinator knows nothing of gateways: a whole list of its own must not remove them.
+        let whole = || entries.iter().cloned().chain(self.gateway_entries()).collect();
+        let news = match update.news {
+            ListNews::Complete(_) => ListNews::Complete(whole()),
+            ListNews::Cached(_) => ListNews::Cached(whole()),
+            other => other,
+        };
+        // The ledger first: the guard on drains must know before anything else is done.
+        self.ledger.list(now, news);
+        self.links.list(now, &entries, &update.places, complete);
+    }
+
+    fn gateway_entries(&self) -> Vec<ListEntry> {
+        self.agent.as_ref().map_or_else(Vec::new, Agent::entries)
     }
 
     // ---- What follows ----
 
-    /// Carries out what the ledger and the links ask for, until neither asks for more.
+    /// Carries out what the ledger, the links and the call agent ask for, until none asks for more.
     fn settle(&mut self, now: Micros) {
         loop {
             let (ledger, links) = (self.ledger.take_outputs(), self.links.take_outputs());
-            if ledger.is_empty() && links.is_empty() {
+            let agent = self.agent.as_mut().map_or_else(Vec::new, Agent::take_outputs);
+            if ledger.is_empty() && links.is_empty() && agent.is_empty() {
                 return;
             }
             for output in ledger {
@@ -254,27 +300,45 @@
             for output in links {
                 self.link_output(now, output);
             }
+            for output in agent {
+                self.agent_output(now, output);
+            }
         }
     }
 
     fn ledger_output(&mut self, now: Micros, output: Output) {
         match output {
-            Output::SetUp { call, attempt, office, wait } => {
-                if let Some(message) = self.set_up_message(call, wait) {
-                    self.links.set_up(now, (call, attempt), office, message);
+            Output::SetUp { call, attempt, office, wait } => match &mut self.agent {
+                Some(agent) if agent.has(office) => {
+                    let description = self.ledger.offer_of(call).and_then(|o| o.description.as_ref());
+                    agent.set_up(now, (call, attempt), office, description);
                 }
-            }
-            Output::Clear { call, attempt, .. } => self.links.clear(now, call, attempt),
-            Output::Answer { call, answer, .. } => {
-                if let Some(m) = self.callers.answer(call, answer) {
-                    self.tell_caller(m);
+                _ => {
+                    if let Some(message) = self.set_up_message(call, wait) {
+                        self.links.set_up(now, (call, attempt), office, message);
+                    }
                 }
-            }
-            Output::Release { call, cut, .. } => {
-                if let Some(m) = self.callers.release(now, call, cut) {
-                    self.tell_caller(m);
+            },
+            Output::Clear { call, attempt, office } => match &mut self.agent {
+                Some(agent) if agent.has(office) => agent.clear(now, call, attempt),
+                _ => self.links.clear(now, call, attempt),
+            },
+            Output::Answer { front, call, answer } => match &mut self.agent {
+                Some(agent) if front == GATEWAYS => agent.answer(now, call, &answer),
+                _ => {
+                    if let Some(m) = self.callers.answer(call, answer) {
+                        self.tell_caller(m);
+                    }
                 }
-            }
+            },
+            Output::Release { front, call, cut } => match &mut self.agent {
+                Some(agent) if front == GATEWAYS => agent.release(now, call),
+                _ => {
+                    if let Some(m) = self.callers.release(now, call, cut) {
+                        self.tell_caller(m);
+                    }
+                }
+            },
             Output::Probe(office) => self.links.probe(now, office),
             Output::Tell { to, body } => self.tell_peers(to, body),
             Output::FetchList => self.tasks.push(Task::Refetch),
@@ -318,6 +382,35 @@
         }
     }
 
+    fn agent_output(&mut self, now: Micros, output: AgentOutput) {
+        match output {
+            AgentOutput::Datagram(to, body) => {
+                self.counts.gateways_out += 1;
+                self.tasks.push(Task::Gateway(to, body));
+            }
+            AgentOutput::Wake(at, due) => self.deadlines.add(at, Due::Agent(due)),
+            AgentOutput::Offer(port, offer) => {
+                let call = self.ledger.offer(now, *offer);
+                if let Some(agent) = &mut self.agent {
+                    agent.taken(port, call);
+                }
+            }
+            AgentOutput::Left(call) => self.ledger.caller_left(now, call),
+            AgentOutput::Answered(call, attempt, text) => {
+                if !self.ledger.answered(now, call, attempt, text) {
+                    if let Some(agent) = &mut self.agent {
+                        agent.clear(now, call, attempt);
+                    }
+                }
+            }
+            AgentOutput::Ended(call, attempt, how) => {
+                self.ledger.ended(now, call, attempt, how, LoadReport::default());
+            }
+            AgentOutput::Group(office, load) => self.ledger.group(now, office, load),
+            AgentOutput::List(entry) => self.ledger.list(now, ListNews::Changes([entry].into())),
+        }
+    }
+
     fn set_up_message(&mut self, call: CallId, wait: Micros) -> Option<Message> {
         let offer = self.ledger.offer_of(call)?;
         let class = self.classes.get(offer.ask.class)?.clone();
@@ -326,7 +419,8 @@
             None => {
                 // A call of another front has no name on this wire yet.
                 self.minted = self.minted.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-                (Sid(self.minted), None)
+                let number = self.agent.as_ref().and_then(|a| a.number(call));
+                (Sid(self.minted), number.map(Value::from))
             }
         };
         let mut message =
@@ -362,9 +456,4 @@
             self.tasks.push(Task::Peer(address, body));
         }
     }
-
-    /// Offices on the list, for the console.
-    pub fn offices(&self) -> impl Iterator<Item = OfficeId> + '_ {
-        self.links.views().map(|v| v.0)
-    }
 }
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -7,7 +7,7 @@
 use super::membership::Place;
 use super::ConnId;
 use crate::routing::interface::{
-    AttemptNo, CallId, Cause, Ending, ListEntry, ListState, LoadReport, Micros, OfficeId,
+    AttemptNo, CallId, Cause, Ending, ExchangeNo, ListEntry, ListState, LoadReport, Micros, OfficeId,
 };
 use crate::routing::ledger::Description;
 use std::collections::{BTreeMap, HashMap};
@@ -157,6 +157,8 @@
     sids: HashMap<CallId, Sid>,
     probes: HashMap<Sid, OfficeId>,
     connect_timeout: Micros,
+    /// The exchange that this controller runs in: nothing is ever sent there.
+    own: Option<ExchangeNo>,
     next_conn: u64,
     next_probe: u64,
     out: Vec<LinkOutput>,
@@ -165,7 +167,7 @@
 
 impl Links {
     /// No links yet. A connection that is not up after `connect_timeout` was not made.
-    pub fn new(connect_timeout: Micros) -> Self {
+    pub fn new(connect_timeout: Micros, own: Option<ExchangeNo>) -> Self {
         Links {
             links: BTreeMap::new(),
             conns: HashMap::new(),
@@ -173,6 +175,7 @@
             sids: HashMap::new(),
             probes: HashMap::new(),
             connect_timeout,
+            own,
             next_conn: 0,
             next_probe: 0,
             out: Vec::new(),
@@ -209,7 +212,9 @@
 
     /// Entries of the list; `complete`: exchanges missing from them are gone.
     pub fn list(&mut self, now: Micros, entries: &[ListEntry], places: &[Place], complete: bool) {
-        for (e, place) in entries.iter().zip(places) {
+        let others = |e: &&ListEntry| Some(e.exchange) != self.own;
+        let others: Vec<_> = entries.iter().zip(places).filter(|(e, _)| others(e)).collect();
+        for (e, place) in others {
             self.entry(now, e, place);
         }
         if complete {
--- /dev/null
+++ b/src/protocol/mgcp/transactions.rs
@@ -0,0 +1,237 @@
+//! Transactions in both directions: commands that are repeated until they are answered, and answers that are
+//! kept so that a repeated command is answered again and never run twice.
+
+use super::message::{Command, Params, Response, Verb, LAST_TRANSACTION};
+use crate::routing::interface::Micros;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// First wait before a command is repeated (µs); it doubles.
+pub const FIRST_WAIT: Micros = 200_000;
+/// Times that a command is sent in all.
+pub const SENDS: u32 = 6;
+/// A command that was answered provisionally is waited for this long for its final answer (µs).
+pub const LONG_WAIT: Micros = 5_000_000;
+/// How long an answer is kept (T-HIST; µs).
+pub const HISTORY: Micros = 30_000_000;
+/// Answers kept at most; the oldest goes first, those acknowledged before all others.
+pub const HISTORY_CAP: usize = 4096;
+
+// ---- Commands of this side ----
+
+#[derive(Debug)]
+struct Sent<K> {
+    to: SocketAddr,
+    text: String,
+    key: K,
+    wait: Micros,
+    /// When it is to be repeated; a deadline that comes earlier is of the past.
+    due: Micros,
+    sends: u32,
+    provisional: bool,
+}
+
+/// What came of a deadline.
+#[derive(Debug, PartialEq)]
+pub enum Repeat<K> {
+    /// Nothing: the transaction is over, or the deadline is of the past.
+    Nothing,
+    /// Send this again, and come back then.
+    Again(SocketAddr, String, Micros),
+    /// It was sent as often as it may be, and no answer came.
+    GaveUp(K),
+}
+
+/// Commands that wait for an answer; `K` says what each is for.
+#[derive(Debug)]
+pub struct Commands<K> {
+    next: u32,
+    sent: BTreeMap<u32, Sent<K>>,
+    /// Transactions whose final answer came, to be acknowledged with the next command there.
+    unacknowledged: BTreeMap<SocketAddr, Vec<u32>>,
+    /// Repeats sent.
+    pub repeats: u64,
+}
+
+impl<K> Commands<K> {
+    /// None yet; the first transaction is drawn from the seed, so that a restart does not use the numbers of
+    /// the life before.
+    pub fn new(seed: u64) -> Self {
+        let next = (seed % u64::from(LAST_TRANSACTION)) as u32 + 1;
+        Commands { next, sent: BTreeMap::new(), unacknowledged: BTreeMap::new(), repeats: 0 }
+    }
+
+    /// Sends a command: its transaction, the text to send, and when to come back.
+    pub fn send(
+        &mut self,
+        now: Micros,
+        to: SocketAddr,
+        mut command: Command,
+        key: K,
+    ) -> (u32, String, Micros) {
+        while self.sent.contains_key(&self.next) {
+            self.step();
+        }
+        command.transaction = self.next;
+        self.step();
+        if let Some(ids) = self.unacknowledged.remove(&to) {
+            let ids: Vec<String> = ids.iter().map(u32::to_string).collect();
+            command.params.0.insert(0, ("K".to_owned(), ids.join(",")));
+        }
+        let (text, due) = (command.text(), now + FIRST_WAIT);
+        let sent = Sent { to, text: text.clone(), key, wait: FIRST_WAIT, due, sends: 1, provisional: false };
+        self.sent.insert(command.transaction, sent);
+        (command.transaction, text, due)
+    }
+
+    fn step(&mut self) {
+        self.next = if self.next >= LAST_TRANSACTION { 1 } else { self.next + 1 };
+    }
+
+    /// The deadline of a transaction has come.
+    pub fn due(&mut self, now: Micros, transaction: u32) -> Repeat<K> {
+        let Some(sent) = self.sent.get_mut(&transaction).filter(|s| s.due <= now) else {
+            return Repeat::Nothing;
+        };
+        if sent.sends >= SENDS || sent.provisional {
+            return self.sent.remove(&transaction).map_or(Repeat::Nothing, |s| Repeat::GaveUp(s.key));
+        }
+        sent.sends += 1;
+        sent.wait *= 2;
+        sent.due = now + sent.wait;
+        self.repeats += 1;
+        Repeat::Again(sent.to, sent.text.clone(), sent.due)
+    }
+
+    /// A response came: what its command was for, if it is the final one; and what else to do.
+    pub fn response(&mut self, now: Micros, from: SocketAddr, r: &Response) -> Answered<K> {
+        // An empty acknowledgement parameter asks for one at once, also with a repeat of the response.
+        let asked = r.code >= 200 && r.params.get("K").is_some_and(str::is_empty);
+        let acknowledge = asked.then(|| Response::new(0, r.transaction).text());
+        let Some(sent) = self.sent.get_mut(&r.transaction).filter(|s| s.to.ip() == from.ip()) else {
+            return Answered { key: None, acknowledge, wake: None };
+        };
+        if r.code < 200 {
+            sent.provisional = true;
+            sent.due = now + LONG_WAIT;
+            return Answered { key: None, acknowledge: None, wake: Some(sent.due) };
+        }
+        let to = sent.to;
+        let key = self.sent.remove(&r.transaction).map(|s| s.key);
+        if !asked {
+            let ids = self.unacknowledged.entry(to).or_default();
+            ids.push(r.transaction);
+            // They ride on one line of the next command; an old one is forgotten by the gateway itself.
+            ids.drain(..ids.len().saturating_sub(32));
+        }
+        Answered { key, acknowledge, wake: None }
+    }
+
+    /// Stops repeating a command, but still learns of its answer once.
+    pub fn stop_repeating(&mut self, now: Micros, transaction: u32) -> Option<Micros> {
+        let sent = self.sent.get_mut(&transaction)?;
+        sent.provisional = true;
+        sent.due = now + LONG_WAIT;
+        Some(sent.due)
+    }
+
+    /// Commands that wait.
+    pub fn waiting(&self) -> usize {
+        self.sent.len()
+    }
+}
+
+/// What came of a response.
+#[derive(Debug, PartialEq)]
+pub struct Answered<K> {
+    /// What the command was for, if this was its first final response.
+    pub key: Option<K>,
+    /// A response acknowledgement to send back.
+    pub acknowledge: Option<String>,
+    /// When to come back for this transaction.
+    pub wake: Option<Micros>,
+}
+
+// ---- Commands of the other side ----
+
+#[derive(Debug)]
+struct Kept {
+    until: Micros,
+    text: String,
+    acknowledged: bool,
+}
+
+/// The answers given to gateways' commands.
+#[derive(Debug, Default)]
+pub struct History {
+    kept: BTreeMap<(SocketAddr, u32), Kept>,
+    order: VecDeque<(Micros, SocketAddr, u32)>,
+    /// Repeated commands that were answered from here.
+    pub repeats: u64,
+}
+
+impl History {
+    /// The answer to a command that came before.
+    pub fn answered(&mut self, now: Micros, from: SocketAddr, transaction: u32) -> Option<String> {
+        self.forget(now);
+        let text = self.kept.get(&(from, transaction)).map(|k| k.text.clone())?;
+        self.repeats += 1;
+        Some(text)
+    }
+
+    /// Keeps the answer to a command.
+    pub fn keep(&mut self, now: Micros, from: SocketAddr, transaction: u32, text: String) {
+        self.forget(now);
+        if self.kept.len() >= HISTORY_CAP {
+            let acknowledged =
+                |o: &(Micros, SocketAddr, u32)| self.kept.get(&(o.1, o.2)).is_some_and(|k| k.acknowledged);
+            let at = self.order.iter().position(acknowledged).unwrap_or(0);
+            if let Some((_, from, transaction)) = self.order.remove(at) {
+                self.kept.remove(&(from, transaction));
+            }
+        }
+        let until = now + HISTORY;
+        self.kept.insert((from, transaction), Kept { until, text, acknowledged: false });
+        self.order.push_back((until, from, transaction));
+    }
+
+    /// Notes a response acknowledgement: single transactions and ranges. The answer is kept all the same, for
+    /// a repeat that was on its way; it is only the first to go when room is short.
+    pub fn acknowledge(&mut self, from: SocketAddr, list: &str) {
+        for part in list.split(',') {
+            let (low, high) = part.split_once('-').unwrap_or((part, part));
+            let (Ok(low), Ok(high)) = (low.trim().parse::<u32>(), high.trim().parse::<u32>()) else {
+                continue;
+            };
+            if low <= high {
+                for (_, k) in self.kept.range_mut((from, low)..=(from, high)) {
+                    k.acknowledged = true;
+                }
+            }
+        }
+    }
+
+    /// Answers kept.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
+    fn forget(&mut self, now: Micros) {
+        while let Some(&(until, from, transaction)) = self.order.front().filter(|o| o.0 <= now) {
+            self.order.pop_front();
+            if self.kept.get(&(from, transaction)).is_some_and(|k| k.until == until) {
+                self.kept.remove(&(from, transaction));
+            }
+        }
+    }
+}
+
+/// A command without parameters; its transaction is given when it is sent.
+pub fn command(verb: Verb, endpoint: super::message::Endpoint) -> Command {
+    Command { verb, transaction: 0, endpoint, params: Params::default(), sdp: None }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod exchanges;
 pub mod json_lines;
 pub mod membership;
+pub mod mgcp;
 pub mod server_events;
 pub mod simulator;
 pub mod text_settings;
