Flush final answers before the exit, and check connections against models

Seen: after SIGTERM the last final answer could stay in its outbox: the program ended in the turn that answered it. A socket test found its connection closed without the answer. Ruled out: the ledger, which had given the answer, and the stand-in, which had not closed.

At the end every outbox is closed once it has sent what waits, for at most half a second. New tests: models of a link, of the callers' front and of the ledger's rules against random steps with fixed seeds, and the platform's front and links on loopback sockets (split, joined and over-long lines, bad and repeated names, late answers, releases on any connection, a dead exchange, a new one at its address, the stream taken up again, drains, SIGTERM, configuration errors).

--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -21,6 +21,8 @@
 const TURN: usize = 256;
 /// Datagrams that may wait to be sent; more are lost, as datagrams may be.
 const DATAGRAMS: usize = 256;
+/// What waits to be sent at the end has this long to go out (µs).
+const FLUSH: Micros = 500_000;
 /// The longest message between peers.
 const PEER_LONGEST: usize = 256;
 
@@ -138,9 +140,18 @@
         }
         board.sweep(clock.now());
         if board.finished(clock.now()) {
-            return board;
+            break;
         }
     }
+    // Guards answers that are still on their way out: the connections end once they have sent what waits.
+    let until = clock.now() + FLUSH;
+    board.close_all();
+    while board.connections() > 0 && clock.now() < until {
+        if let Some(item) = wait(&clock, Some(until), &news).await {
+            board.take(clock.now(), item);
+        }
+    }
+    board
 }
 
 async fn wait(clock: &Clock, until: Option<Micros>, news: &Receiver<Inbound>) -> Option<Inbound> {
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -171,6 +171,16 @@
         now - since >= STOP_WINDOW && self.ledger.open_calls() == 0 && stood
     }
 
+    /// Ends every connection once what waits on it has been sent.
+    pub fn close_all(&self) {
+        self.outboxes.values().for_each(Outbox::close);
+    }
+
+    /// Connections that have not ended.
+    pub fn connections(&self) -> usize {
+        self.outboxes.len()
+    }
+
     /// All counters.
     pub fn counters(&self) -> Vec<(String, u64)> {
         let (callers, links) = (self.callers.counts(), self.links.counts());
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -1,32 +1,17 @@
 //! The front towards gateways on real loopback sockets: the program as a process, and a small stand-in gateway.
 //! Times are checked from one side only: what must not come too soon, never what must come quickly.
 
+mod common;
+
+use common::{config, file, Program, WAIT};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-const WAIT: Duration = Duration::from_secs(20);
 const SDP_A: &str = "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\nc=IN IP4 127.0.0.1\r\nm=audio 4000 RTP/AVP 0 8\r\n";
 const SDP_B: &str =
     "v=0\r\no=- 2 2 IN IP4 127.0.0.1\r\nc=IN IP4 127.0.0.1\r\nm=audio 5002 RTP/AVP 8\r\na=x-odd: \t\"\\\r\n";
 
-/// The program, ended when the test ends.
-struct Program {
-    child: Child,
-    agent: SocketAddr,
-    callers: SocketAddr,
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-    }
-}
-
 /// What the program sent, as the stand-in sees it.
 #[derive(Clone, Debug, PartialEq)]
 struct Got {
@@ -183,11 +168,13 @@
     }
 }
 
-static TESTS: AtomicU32 = AtomicU32::new(0);
+struct Running {
+    _program: Program,
+    agent: SocketAddr,
+    callers: SocketAddr,
+}
 
-fn start(gateways: &[(&Gateway, u16, &str, usize, &str)], patience: u32) -> Program {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let n = TESTS.fetch_add(1, Ordering::Relaxed);
+fn start(gateways: &[(&Gateway, u16, &str, usize, &str)], patience: u32) -> Running {
     let mut mgcp = format!(
         "enabled = true\nlisten = \"127.0.0.1:0\"\nclass = \"status-report\"\npatience_ms = {patience}\n"
     );
@@ -201,39 +188,14 @@
             names.join(",")
         );
     }
-    let config = serde_json::json!({
-        "name": "t", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": 1024}, "known": {"index": 0, "updates": []},
-        "settings": {
-            "classes": [{"name": "status-report", "aim": 1200.0, "giveUp": 9000.0, "effect": "retryable"}],
-            "extra": {"ownExchange": 0, "release": 500.0, "shape": "meshed"},
-            "limits": {"tryLimit": 4, "mayCancel": true, "maxRetryAfter": 2000.0},
-            "rules": {"stopSendingWithin": 250.0, "cold": 15000.0, "coldFrom": 0.35, "fall": 2000.0,
-                      "overloadFactor": 2.5}, "tick": 5.0
-        }
-    });
-    let (mgcp_file, config_file) = (dir.join(format!("mgcp-{n}.toml")), dir.join(format!("config-{n}.json")));
-    std::fs::write(&mgcp_file, mgcp).unwrap();
-    std::fs::write(&config_file, config.to_string()).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_walnuthatch"))
-        .args(["--config".as_ref(), config_file.as_os_str(), "--mgcp".as_ref(), mgcp_file.as_os_str()])
-        .stdin(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-    let mut at = |what: &str| -> SocketAddr {
-        let head = format!("walnuthatch: {what} at ");
-        let line = lines.find_map(|l| l.unwrap().strip_prefix(&head).map(str::to_owned));
-        line.unwrap().parse().unwrap()
-    };
-    let (callers, agent) = (at("callers"), at("gateways"));
-    std::thread::spawn(move || lines.for_each(drop));
-    Program { child, agent, callers }
+    let config = file("config.json", &config(serde_json::json!({})).to_string());
+    let program = Program::start(&[("--config", &config), ("--mgcp", &file("mgcp.toml", &mgcp))], &[]);
+    let (callers, agent) = (program.at("callers"), program.at("gateways"));
+    Running { _program: program, agent, callers }
 }
 
 /// Two gateways that are up: one of callers (exchange 1) and one that is called (exchange 2, numbers 2...).
-fn pair(endpoints: usize, by: &str, patience: u32) -> (Program, Gateway, Gateway) {
+fn pair(endpoints: usize, by: &str, patience: u32) -> (Running, Gateway, Gateway) {
     let (mut a, mut b) = (Gateway::new("cab-a"), Gateway::new("cab-b"));
     let p = start(&[(&a, 1, "1", endpoints, "off-hook"), (&b, 2, "2", endpoints, by)], patience);
     (a.agent, b.agent) = (Some(p.agent), Some(p.agent));
--- /dev/null
+++ b/tests/models.rs
@@ -0,0 +1,546 @@
+//! Models of what connections and calls may do, against which random steps are checked. Seeds are fixed.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+use walnuthatch::protocol::callers::{Ask, Callers, ToCaller};
+use walnuthatch::protocol::exchanges::{Closing, LinkDue, LinkOutput, Links};
+use walnuthatch::protocol::json_lines::{Kind, LineError, LineSplitter, Message, Sid, LONGEST};
+use walnuthatch::protocol::membership::Place;
+use walnuthatch::protocol::ConnId;
+use walnuthatch::routing::deadlines::Deadlines;
+use walnuthatch::routing::interface::*;
+use walnuthatch::routing::ledger::{Answer, FrontId, Ledger, LedgerDue, Offer, Output};
+
+const MS: Micros = 1_000;
+
+fn check<T: std::fmt::Debug>(strategy: impl Strategy<Value = T>, test: impl Fn(T)) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let run = TestRunner::new_with_rng(config, rng).run(&strategy, |t| {
+        test(t);
+        Ok(())
+    });
+    run.unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn office(n: u16) -> OfficeId {
+    OfficeId { addr: [10, 0, 0, n as u8], port: 0 }
+}
+
+fn entry(n: u16, state: ListState) -> ListEntry {
+    ListEntry { exchange: ExchangeNo(n), zone: 0, state, office: office(n), last_start: None }
+}
+
+// ---- Lines ----
+
+#[test]
+fn lines_come_out_the_same_however_the_stream_is_cut() {
+    let lines = prop::collection::vec(0_usize..LONGEST + 200, 1..6);
+    let cuts = prop::collection::vec(1_usize..9_000, 1..40);
+    check((lines, cuts), |(lengths, cuts)| {
+        let bytes: Vec<u8> = lengths.iter().flat_map(|&n| [vec![b'a'; n], vec![b'\n']].concat()).collect();
+        let want: Vec<Result<usize, LineError>> = lengths
+            .iter()
+            .filter(|&&n| n > 0)
+            .map(|&n| if n > LONGEST { Err(LineError::TooLong) } else { Ok(n) })
+            .collect();
+        let (mut splitter, mut got, mut rest) = (LineSplitter::default(), Vec::new(), &bytes[..]);
+        for cut in cuts.iter().cycle() {
+            let (head, tail) = rest.split_at((*cut).min(rest.len()));
+            splitter.push(head, |line| got.push(line.map(<[u8]>::len)));
+            rest = tail;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        assert_eq!(got, want);
+    });
+}
+
+// ---- The link to one exchange ----
+
+#[derive(Clone, Debug)]
+enum LinkStep {
+    SetUp,
+    Clear(usize),
+    Up,
+    Down(Closing),
+    Ready(usize),
+    Close(usize, u16),
+    List(ListState),
+    Pass(Micros),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Leg {
+    Waiting,
+    Out,
+    Standing,
+    Cleared,
+    Over,
+}
+
+struct LinkModel {
+    links: Links,
+    now: Micros,
+    due: Deadlines<LinkDue>,
+    /// The one connection there may be, and whether it is up.
+    conn: Option<(ConnId, bool)>,
+    legs: Vec<Leg>,
+    state: ListState,
+}
+
+impl LinkModel {
+    fn list(&mut self, state: ListState) {
+        self.state = state;
+        let place = Place { member: "s-1".to_owned(), address: "127.0.0.1:9".parse().unwrap() };
+        self.links.list(self.now, &[entry(1, state)], &[place], false);
+    }
+
+    fn settle(&mut self) {
+        for output in self.links.take_outputs() {
+            match output {
+                LinkOutput::Connect(conn, _) => {
+                    assert_eq!(self.conn, None, "one connection to an exchange");
+                    self.conn = Some((conn, false));
+                }
+                LinkOutput::Send { conn, message, set_up } => {
+                    assert_eq!(self.conn, Some((conn, true)), "sent where it can be heard");
+                    assert_eq!(set_up.is_some(), message.kind == Kind::Open);
+                    if let Some(call) = set_up {
+                        let leg = &mut self.legs[call.0 as usize];
+                        assert_eq!(*leg, Leg::Waiting, "one set-up, and none after it was given up");
+                        assert_eq!(self.state, ListState::Ready, "nothing that waited leaves after a drain");
+                        *leg = Leg::Out;
+                    }
+                }
+                LinkOutput::TakeBack { call, .. } => assert_eq!(self.legs[call.0 as usize], Leg::Cleared),
+                LinkOutput::HangUp(conn) => {
+                    assert_eq!(self.conn.map(|c| c.0), Some(conn));
+                    self.conn = None;
+                }
+                LinkOutput::Wake(at, due) => self.due.add(at, due),
+                LinkOutput::Answered(call, ..) => {
+                    assert_eq!(self.legs[call.0 as usize], Leg::Out);
+                    self.legs[call.0 as usize] = Leg::Standing;
+                }
+                LinkOutput::Ended(call, ..) => {
+                    let leg = &mut self.legs[call.0 as usize];
+                    assert!(matches!(*leg, Leg::Waiting | Leg::Out | Leg::Standing), "one end: {leg:?}");
+                    *leg = Leg::Over;
+                }
+                LinkOutput::Group(..) | LinkOutput::ProbeFailed(_) => {}
+            }
+        }
+    }
+
+    fn step(&mut self, step: LinkStep) {
+        let pick = |i: usize, n: usize| (n > 0).then(|| i % n.max(1));
+        let up = self.conn.filter(|c| c.1).map(|c| c.0);
+        match step {
+            LinkStep::SetUp if self.state == ListState::Ready => {
+                let n = self.legs.len();
+                self.legs.push(Leg::Waiting);
+                let message = Message::new(Kind::Open, Some(Sid(n as u64)));
+                self.links.set_up(self.now, (CallId(n as u32), AttemptNo(0)), office(1), message);
+            }
+            LinkStep::Clear(i) => {
+                if let Some(i) = pick(i, self.legs.len()) {
+                    if !matches!(self.legs[i], Leg::Over) {
+                        self.legs[i] = Leg::Cleared;
+                    }
+                    self.links.clear(self.now, CallId(i as u32), AttemptNo(0));
+                }
+            }
+            LinkStep::Up => {
+                if let Some((conn, false)) = self.conn {
+                    self.conn = Some((conn, true));
+                    self.links.connected(self.now, conn);
+                }
+            }
+            LinkStep::Down(how) => {
+                if let Some((conn, up)) = self.conn.take() {
+                    let how = if up && how == Closing::Refused { Closing::Broken } else { how };
+                    self.links.closed(self.now, conn, how);
+                }
+            }
+            LinkStep::Ready(i) => {
+                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
+                    let before = self.legs[i];
+                    self.links.message(conn, Message::new(Kind::Ready, Some(Sid(i as u64))));
+                    let released = self.links.counts().late_answers;
+                    self.settle();
+                    assert!(before != Leg::Out || self.legs[i] == Leg::Standing);
+                    assert!(!matches!(before, Leg::Cleared | Leg::Over) || released > 0);
+                }
+            }
+            LinkStep::Close(i, code) => {
+                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
+                    self.links.message(conn, Message::close(Sid(i as u64), code));
+                }
+            }
+            LinkStep::List(state) => self.list(state),
+            LinkStep::Pass(span) => self.pass(span),
+            LinkStep::SetUp => {}
+        }
+        self.settle();
+    }
+
+    fn pass(&mut self, span: Micros) {
+        let end = self.now + span;
+        while let Some(at) = self.due.first().filter(|&at| at <= end) {
+            self.now = self.now.max(at);
+            while let Some(due) = self.due.take_due(self.now) {
+                self.links.due(self.now, due);
+                self.settle();
+            }
+        }
+        self.now = end;
+    }
+}
+
+#[test]
+fn a_link_keeps_one_connection_and_ends_each_set_up_once() {
+    use LinkStep::*;
+    let how = prop::sample::select(vec![
+        Closing::Refused,
+        Closing::NotMade,
+        Closing::Ended,
+        Closing::Broken,
+        Closing::Ours,
+    ]);
+    let state = prop::sample::select(vec![ListState::Ready, ListState::Draining, ListState::Gone]);
+    let step = prop_oneof![
+        4 => Just(SetUp),
+        2 => (0_usize..50).prop_map(Clear),
+        3 => Just(Up),
+        1 => how.prop_map(Down),
+        3 => (0_usize..50).prop_map(Ready),
+        2 => (0_usize..50, prop::sample::select(vec![16, 34, 41, 102])).prop_map(|(i, c)| Close(i, c)),
+        1 => state.prop_map(List),
+        2 => (0..700 * MS).prop_map(Pass),
+    ];
+    check(prop::collection::vec(step, 1..80), |steps| {
+        let links = Links::new(500 * MS, Some(ExchangeNo(0)));
+        let mut m = LinkModel {
+            links,
+            now: 1_000 * MS,
+            due: Deadlines::default(),
+            conn: None,
+            legs: Vec::new(),
+            state: ListState::Ready,
+        };
+        m.list(ListState::Ready);
+        m.settle();
+        steps.into_iter().for_each(|s| m.step(s));
+        // Once it is gone and has had its time, nothing is left of it.
+        m.list(ListState::Gone);
+        m.settle();
+        m.pass(5_000 * MS);
+        let left = m.legs.iter().filter(|l| !matches!(l, Leg::Over | Leg::Cleared)).count();
+        assert_eq!((left, m.conn, m.links.has(office(1))), (0, None, false));
+    });
+}
+
+// ---- Callers ----
+
+#[derive(Clone, Debug)]
+enum CallerStep {
+    Connect,
+    Drop(usize),
+    Open(usize, u64),
+    Leave(usize, u64),
+    Answer(usize, bool),
+    Release(usize),
+}
+
+#[test]
+fn callers_get_one_answer_on_their_connection_and_every_release() {
+    use CallerStep::*;
+    let step = prop_oneof![
+        2 => Just(Connect),
+        1 => (0_usize..9).prop_map(Drop),
+        6 => (0_usize..9, 0_u64..20).prop_map(|(c, s)| Open(c, s)),
+        2 => (0_usize..9, 0_u64..20).prop_map(|(c, s)| Leave(c, s)),
+        4 => (0_usize..50, any::<bool>()).prop_map(|(i, s)| Answer(i, s)),
+        3 => (0_usize..50).prop_map(Release),
+    ];
+    check(prop::collection::vec(step, 1..120), |steps| {
+        let mut callers = Callers::new(FrontId(0), vec!["a".to_owned()]);
+        let (mut alive, mut next_conn, mut next_call) = (Vec::<ConnId>::new(), 0, 0);
+        // Each call held: its name, its connection, whether it stands.
+        let mut calls: BTreeMap<CallId, (Sid, ConnId, bool)> = BTreeMap::new();
+        let mut owed: Vec<Sid> = Vec::new();
+        for step in steps {
+            match step {
+                Connect => {
+                    alive.push(ConnId(next_conn));
+                    next_conn += 1;
+                    let told = callers.opened(0, alive[alive.len() - 1]);
+                    let told: Vec<Sid> = told.iter().filter_map(|m| m.message.sid).collect();
+                    assert_eq!(told, std::mem::take(&mut owed));
+                }
+                Drop(i) if !alive.is_empty() => {
+                    let conn = alive.remove(i % alive.len());
+                    let want: Vec<CallId> =
+                        calls.iter().filter(|(_, c)| c.1 == conn && !c.2).map(|(&id, _)| id).collect();
+                    assert_eq!(callers.closed(conn), want);
+                    calls.retain(|_, c| c.1 != conn || c.2);
+                }
+                Open(i, s) if !alive.is_empty() => {
+                    let (conn, sid) = (alive[i % alive.len()], Sid(s));
+                    let message = Message::new(Kind::Open, Some(sid)).with("class", "a").with("left", 900);
+                    let ask = callers.message(0, conn, message.with("extras", "dest:2"));
+                    let known = calls.values().any(|c| c.0 == sid);
+                    assert_eq!(matches!(ask, Ask::Nothing), known, "{ask:?}");
+                    if let Ask::Offer(sid, key, _) = ask {
+                        callers.taken(conn, sid, key, CallId(next_call));
+                        calls.insert(CallId(next_call), (sid, conn, false));
+                        next_call += 1;
+                    }
+                }
+                Leave(i, s) if !alive.is_empty() => {
+                    let ask = callers.message(0, alive[i % alive.len()], Message::close(Sid(s), 16));
+                    let known = calls.iter().find(|(_, c)| c.0 == Sid(s)).map(|(&id, _)| id);
+                    assert_eq!(ask, known.map_or(Ask::Nothing, Ask::Left));
+                    known.and_then(|id| calls.remove(&id));
+                }
+                Answer(i, stands) => {
+                    let open: Vec<CallId> = calls.iter().filter(|c| !c.1 .2).map(|c| *c.0).collect();
+                    let Some(&id) = open.get(i % open.len().max(1)) else { continue };
+                    let answer =
+                        if stands { stands_answer() } else { self::Answer::Refused { pause: 2_000 * MS } };
+                    let told = callers.answer(id, answer);
+                    let (sid, conn, _) = calls[&id];
+                    let want = if stands { Kind::Ready } else { Kind::Close };
+                    let kind = |m: &ToCaller| (m.conn, m.message.sid, m.message.kind);
+                    assert_eq!(told.as_ref().map(kind), Some((conn, Some(sid), want)));
+                    if stands {
+                        calls.insert(id, (sid, conn, true));
+                    } else {
+                        calls.remove(&id);
+                    }
+                }
+                Release(i) => {
+                    let up: Vec<CallId> = calls.iter().filter(|c| c.1 .2).map(|c| *c.0).collect();
+                    let Some(&id) = up.get(i % up.len().max(1)) else { continue };
+                    let (sid, conn, _) = calls.remove(&id).unwrap();
+                    match callers.release(0, id, false) {
+                        Some(m) => {
+                            assert!(alive.contains(&m.conn) && m.message.sid == Some(sid));
+                            assert!(m.conn == conn || !alive.contains(&conn), "its own if that is there");
+                        }
+                        None => {
+                            assert!(alive.is_empty());
+                            owed.push(sid);
+                        }
+                    }
+                }
+                Drop(_) | Open(..) | Leave(..) => {}
+            }
+        }
+    });
+}
+
+fn stands_answer() -> Answer {
+    Answer::Stands(None)
+}
+
+// ---- The ledger's rules ----
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer(u16, Micros),
+    Leave(usize),
+    Answered(usize),
+    Ended(usize, Ending, Cause),
+    List(u16, ListState),
+    Pass(Micros),
+}
+
+#[derive(Debug)]
+struct Held {
+    deadline: Micros,
+    out: Option<AttemptNo>,
+    stands: bool,
+    quiet: Micros,
+}
+
+struct Book {
+    ledger: Ledger,
+    now: Micros,
+    due: Deadlines<LedgerDue>,
+    calls: BTreeMap<CallId, Held>,
+    drained: BTreeMap<u16, Micros>,
+}
+
+impl Book {
+    fn settle(&mut self) {
+        for output in self.ledger.take_outputs() {
+            match output {
+                Output::SetUp { call, attempt, office, wait } => {
+                    let held = self.calls.get_mut(&call).expect("a call that is owed an answer");
+                    assert!(held.out.is_none() && !held.stands, "one attempt out");
+                    assert!(self.now >= held.quiet, "the quiet period");
+                    assert!(self.now + wait <= held.deadline);
+                    let told = self.drained.get(&u16::from(office.addr[3]));
+                    assert!(told.is_none_or(|&t| self.now - t <= 250 * MS), "the drain limit");
+                    held.out = Some(attempt);
+                }
+                Output::Clear { call, attempt, .. } => {
+                    if let Some(held) = self.calls.get_mut(&call) {
+                        assert_eq!(held.out.take(), Some(attempt));
+                        held.quiet = self.now + 500 * MS;
+                    }
+                }
+                Output::Answer { call, answer, .. } => {
+                    let held = self.calls.get_mut(&call).expect("one final answer");
+                    assert!(!held.stands && self.now <= held.deadline);
+                    if matches!(answer, Answer::Stands(_)) {
+                        (held.stands, held.out) = (true, None);
+                    } else {
+                        assert!(held.out.is_none(), "no attempt is left out");
+                        self.calls.remove(&call);
+                    }
+                }
+                Output::Release { call, .. } => {
+                    assert!(self.calls.remove(&call).expect("released once").stands);
+                }
+                Output::Wake(at, due) => self.due.add(at, due),
+                _ => {}
+            }
+        }
+    }
+
+    fn nth(&self, i: usize, which: impl Fn(&Held) -> bool) -> Option<CallId> {
+        let fit: Vec<CallId> = self.calls.iter().filter(|c| which(c.1)).map(|c| *c.0).collect();
+        fit.get(i % fit.len().max(1)).copied()
+    }
+
+    fn step(&mut self, step: Step) {
+        let now = self.now;
+        match step {
+            Step::Offer(to, patience) => {
+                let ask = NewCall {
+                    call: CallId(0),
+                    destination: ExchangeNo(to),
+                    transit: false,
+                    redialled: false,
+                    cut_before: false,
+                    number: None,
+                    width: 1,
+                    patience,
+                    class: 0,
+                    via: None,
+                };
+                let call = self.ledger.offer(now, Offer { front: FrontId(0), ask, description: None });
+                let (deadline, out, stands, quiet) = (now + patience, None, false, 0);
+                self.calls.insert(call, Held { deadline, out, stands, quiet });
+            }
+            Step::Leave(i) => {
+                if let Some(call) = self.nth(i, |_| true) {
+                    self.calls.remove(&call);
+                    self.ledger.caller_left(now, call);
+                }
+            }
+            Step::Answered(i) => {
+                if let Some(call) = self.nth(i, |h| h.out.is_some()) {
+                    let attempt = self.calls[&call].out.unwrap();
+                    assert!(self.ledger.answered(now, call, attempt, None));
+                    assert!(!self.ledger.answered(now, call, attempt, None), "not twice");
+                }
+            }
+            Step::Ended(i, ending, cause) => {
+                if let Some(call) = self.nth(i, |h| h.out.is_some() || h.stands) {
+                    let held = self.calls.get_mut(&call).unwrap();
+                    let attempt = held.out.take().unwrap_or(AttemptNo(0));
+                    let unclear = matches!(ending, Ending::Reset | Ending::TimedOut);
+                    held.quiet = if unclear { now + 500 * MS } else { held.quiet };
+                    self.ledger.ended(now, call, attempt, (ending, cause), LoadReport::default());
+                }
+            }
+            Step::List(n, state) => {
+                match state {
+                    ListState::Ready => drop(self.drained.remove(&n)),
+                    _ => drop(self.drained.entry(n).or_insert(now)),
+                }
+                self.ledger.list(now, ListNews::Changes([entry(n, state)].into()));
+            }
+            Step::Pass(span) => {
+                while let Some(at) = self.due.first().filter(|&at| at <= now + span) {
+                    self.now = self.now.max(at);
+                    while let Some(due) = self.due.take_due(self.now) {
+                        self.ledger.due(self.now, due);
+                        self.settle();
+                    }
+                }
+                self.now = now + span;
+                let late = |h: &Held| !h.stands && h.deadline <= self.now;
+                assert!(!self.calls.values().any(late), "answered before its caller gives up");
+            }
+        }
+        self.settle();
+    }
+}
+
+#[test]
+fn the_ledger_keeps_the_rules_whatever_comes() {
+    let endings = prop::sample::select(vec![
+        (Ending::Full, Cause::TurnedBack),
+        (Ending::Full, Cause::ProcessorFull(None)),
+        (Ending::NotSent, Cause::NoCircuit),
+        (Ending::Reset, Cause::None),
+        (Ending::TimedOut, Cause::None),
+        (Ending::Unreachable, Cause::None),
+        (Ending::Fault, Cause::LinesBusy),
+        (Ending::Completed, Cause::None),
+    ]);
+    let state = prop::sample::select(vec![ListState::Ready, ListState::Draining, ListState::Gone]);
+    let step = prop_oneof![
+        6 => (0_u16..5, 50 * MS..5_000 * MS).prop_map(|(to, p)| Step::Offer(to, p)),
+        1 => (0_usize..50).prop_map(Step::Leave),
+        3 => (0_usize..50).prop_map(Step::Answered),
+        4 => (0_usize..50, endings).prop_map(|(i, (e, c))| Step::Ended(i, e, c)),
+        1 => (1_u16..5, state).prop_map(|(n, s)| Step::List(n, s)),
+        4 => (0..800 * MS).prop_map(Step::Pass),
+    ];
+    check(prop::collection::vec(step, 1..120), |steps| {
+        let class = Class {
+            aim: 1_200 * MS,
+            give_up: 9_000 * MS,
+            late_worth: 0.25,
+            worth: 1.0,
+            effect: Effect::Retryable,
+            hold: 10_000 * MS,
+            pools: Vec::new(),
+        };
+        let settings = Settings {
+            classes: vec![class],
+            own: Some(ExchangeNo(0)),
+            release: 500 * MS,
+            may_call_off: true,
+            try_limit: 4,
+            drain_grace: 250 * MS,
+            overload_factor: 2.5,
+            cold: 15_000 * MS,
+            cold_from: 0.35,
+            max_pause: 2_000 * MS,
+            ..Settings::default()
+        };
+        let ledger = Ledger::new(settings, 7);
+        let (calls, drained) = (BTreeMap::new(), BTreeMap::new());
+        let mut book = Book { ledger, now: 1_000_000 * MS, due: Deadlines::default(), calls, drained };
+        let all: Vec<ListEntry> = (0..5).map(|n| entry(n, ListState::Ready)).collect();
+        book.ledger.list(book.now, ListNews::Cached(all.into()));
+        for n in 1..5 {
+            let report = LoadReport { free: Some(20.0), size: Some(20.0), ..LoadReport::default() };
+            book.ledger.group(book.now, office(n), report);
+        }
+        book.settle();
+        steps.into_iter().for_each(|s| book.step(s));
+        book.step(Step::Pass(6_000 * MS));
+        assert_eq!(book.ledger.open_calls(), 0);
+        assert_eq!(book.ledger.standing_calls(), book.calls.len());
+    });
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,347 @@
+//! The platform's front and the links toward exchanges on real loopback sockets: the program as a process,
+//! with stand-in callers, exchanges and a coordinator. Times are checked from one side only.
+
+mod common;
+
+use common::{config, file, until, Program, WAIT};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const TEXT: &str = "v=0\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\na=x:\u{e9}\u{1}\"\\/\r\n";
+
+/// One end of a JSON-lines connection.
+struct Line {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Line {
+    fn on(stream: TcpStream) -> Line {
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Line { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+    fn to(address: SocketAddr) -> Line {
+        Line::on(TcpStream::connect(address).unwrap())
+    }
+    fn say(&mut self, message: Value) {
+        writeln!(self.stream, "{message}").unwrap();
+    }
+    fn raw(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+    fn hear(&mut self) -> Value {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        serde_json::from_str(&line).unwrap_or_else(|e| panic!("{line:?}: {e}"))
+    }
+    /// The next message about this call.
+    fn about(&mut self, sid: &str) -> Value {
+        loop {
+            let got = self.hear();
+            if got["sid"] == sid {
+                return got;
+            }
+        }
+    }
+    fn quiet(&mut self, span: Duration) {
+        self.stream.set_read_timeout(Some(span)).unwrap();
+        let mut byte = [0];
+        let got = self.reader.read(&mut byte);
+        assert!(got.is_err(), "{got:?} {byte:?} where nothing was due");
+        self.stream.set_read_timeout(Some(WAIT)).unwrap();
+    }
+    fn ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.reader.read_to_end(&mut rest).is_ok()
+    }
+}
+
+fn open(sid: &str, to: u16, left: u32) -> Value {
+    let extras = format!("dest:{to};width:1;via:-1");
+    json!({"msg": "open", "sid": sid, "text": TEXT, "attrs": {"class": "status-report",
+        "left": left.to_string(), "key": "7f3a9c21e0b4d655", "extras": extras}})
+}
+
+fn close(sid: &str, code: u16) -> Value {
+    json!({"msg": "close", "sid": sid, "attrs": {}, "code": code})
+}
+
+fn sid(n: u32) -> String {
+    format!("{n:016x}")
+}
+
+fn member(id: &str, at: SocketAddr, cell: u16, phase: &str) -> Value {
+    json!({"id": id, "host_port": at.to_string(), "locality": "dakar-plateau", "flavor": "single-core",
+        "cell": cell, "phase": phase, "size": 1, "up_since_ms": 0})
+}
+
+fn update(index: u64, complete: bool, members: &[Value]) -> Value {
+    json!({"index": index, "endpoints": {"revision": index, "complete": complete, "members": members}})
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+/// An exchange that takes one connection and tells of its group, as exchanges do first of all.
+fn accept(listener: &TcpListener) -> Line {
+    let mut line = Line::on(listener.accept().unwrap().0);
+    line.say(json!({"msg": "status", "attrs": {"load": "x0:20;x1:20;latency_ms:-1;qps:-1"}}));
+    line
+}
+
+/// The program with these exchanges known, each connected.
+fn start(exchanges: &[&TcpListener], more: Value) -> (Program, SocketAddr, Vec<Line>) {
+    let members: Vec<Value> = (1..)
+        .zip(exchanges)
+        .map(|(i, l)| member(&format!("s-{i}"), l.local_addr().unwrap(), i, "up"))
+        .collect();
+    let mut all = config(json!({"known": {"index": 3, "updates": [update(3, true, &members)]}}));
+    more.as_object().unwrap().iter().for_each(|(k, v)| all[k] = v.clone());
+    let program = Program::start(&[("--config", &file("config.json", &all.to_string()))], &[]);
+    let callers = program.at("callers");
+    let lines = exchanges.iter().map(|l| accept(l)).collect();
+    let mut test = Line::to(callers);
+    // The test passes once every exchange has been heard of.
+    until("the test passes", || {
+        test.say(json!({"msg": "probe", "sid": sid(1), "attrs": {}, "code": 0}));
+        (test.about(&sid(1))["code"] == 1).then_some(())
+    });
+    (program, callers, lines)
+}
+
+#[test]
+fn a_call_stands_with_everything_passed_on_unchanged_and_its_end_is_told() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(7), 1, 3000));
+    let got = x[0].hear();
+    assert_eq!((&got["msg"], &got["sid"], &got["text"]), (&json!("open"), &json!(sid(7)), &json!(TEXT)));
+    assert_eq!(
+        (&got["attrs"]["class"], &got["attrs"]["key"]),
+        (&json!("status-report"), &json!("7f3a9c21e0b4d655"))
+    );
+    assert!(got["attrs"]["left"].as_str().unwrap().parse::<u32>().unwrap() <= 3000);
+    x[0].say(json!({"msg": "trying", "sid": sid(7), "attrs": {}}));
+    x[0].say(json!({"msg": "ready", "sid": sid(7), "attrs": {}, "text": TEXT}));
+    let ready = c.hear();
+    assert_eq!((&ready["msg"], &ready["text"]), (&json!("ready"), &json!(TEXT)));
+    x[0].say(close(&sid(7), 16));
+    assert_eq!(c.hear()["code"], 16);
+    c.quiet(Duration::from_millis(300));
+}
+
+#[test]
+fn lines_may_be_split_joined_too_long_or_nonsense_and_cost_their_sender_only() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let (mut bad, mut good) = (Line::to(callers), Line::to(callers));
+    bad.raw(&vec![b'x'; 40_000]);
+    bad.raw(b"\n{\"msg\":\"open\",\"sid\":\"12\"}\nnonsense\n{\"msg\":7}\n");
+    // Two messages in one write, the second in two parts; the far end hears both.
+    let two = format!("{}\n{}\n", open(&sid(1), 1, 3000), open(&sid(2), 1, 3000));
+    let (a, b) = two.as_bytes().split_at(two.len() - 40);
+    good.raw(a);
+    assert_eq!(x[0].hear()["sid"], sid(1));
+    good.raw(b);
+    assert_eq!(x[0].hear()["sid"], sid(2));
+    // The sender of the nonsense is served too, after a line that was too long.
+    bad.say(open(&sid(3), 1, 3000));
+    assert_eq!(x[0].hear()["sid"], sid(3));
+}
+
+#[test]
+fn unknown_classes_fail_at_once_and_a_repeated_name_is_not_answered_twice() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    let mut odd = open(&sid(5), 1, 3000);
+    odd["attrs"]["class"] = json!("telex");
+    c.say(odd);
+    let failed = c.hear();
+    assert_eq!((&failed["msg"], &failed["sid"]), (&json!("close"), &json!(sid(5))));
+    assert!(![34, 42, 102].contains(&failed["code"].as_u64().unwrap()), "trying again will not help");
+    c.say(open(&sid(6), 1, 3000));
+    c.say(open(&sid(6), 1, 3000));
+    x[0].about(&sid(6));
+    x[0].say(json!({"msg": "ready", "sid": sid(6), "attrs": {}, "text": TEXT}));
+    assert_eq!(c.hear()["msg"], "ready");
+    x[0].quiet(Duration::from_millis(200));
+    c.quiet(Duration::from_millis(200));
+}
+
+#[test]
+fn a_refused_call_is_answered_at_once_with_when_to_come_back() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(8), 1, 9000));
+    x[0].about(&sid(8));
+    let refusal = json!({"msg": "close", "sid": sid(8), "attrs": {"note": "queue_long", "load": "x0:3;x1:20"}, "code": 34});
+    let before = Instant::now();
+    x[0].say(refusal);
+    let answer = c.hear();
+    assert_eq!((&answer["code"], &answer["attrs"]["wait"]), (&json!(34), &json!("2000")));
+    assert!(before.elapsed() < Duration::from_secs(8), "not held until its caller would give up");
+}
+
+#[test]
+fn an_answer_that_comes_after_the_set_up_was_given_up_is_released() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(9), 1, 9000));
+    x[0].about(&sid(9));
+    c.say(close(&sid(9), 16));
+    assert_eq!(x[0].about(&sid(9))["code"], 16);
+    x[0].say(json!({"msg": "ready", "sid": sid(9), "attrs": {}, "text": TEXT}));
+    let release = x[0].about(&sid(9));
+    assert_eq!((&release["msg"], &release["code"]), (&json!("close"), &json!(16)));
+    c.quiet(Duration::from_millis(200));
+}
+
+#[test]
+fn no_connection_owns_a_call_that_stands() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    for n in [10, 11, 12] {
+        c.say(open(&sid(n), 1, 9000));
+        x[0].about(&sid(n));
+        x[0].say(json!({"msg": "ready", "sid": sid(n), "attrs": {}, "text": TEXT}));
+        c.about(&sid(n));
+    }
+    drop(c);
+    // With no connection at all the release waits for the next; with another one it takes that.
+    x[0].say(close(&sid(10), 16));
+    std::thread::sleep(Duration::from_millis(100));
+    let mut d = Line::to(callers);
+    assert_eq!(d.about(&sid(10))["code"], 16);
+    x[0].say(close(&sid(11), 41));
+    assert_eq!(d.about(&sid(11))["code"], 41);
+    // The caller's own release may come on any connection.
+    d.say(close(&sid(12), 16));
+    assert_eq!(x[0].about(&sid(12))["code"], 16);
+}
+
+#[test]
+fn a_dead_exchange_cuts_its_calls_and_a_new_one_may_have_its_address() {
+    let (l, feed) = (listener(), listener());
+    let at = l.local_addr().unwrap();
+    let (_p, callers, mut x) = start(&[&l], json!({"coordinator": feed.local_addr().unwrap().to_string()}));
+    let mut c = Line::to(callers);
+    for n in [20, 21] {
+        c.say(open(&sid(n), 1, 9000));
+        x[0].about(&sid(n));
+    }
+    x[0].say(json!({"msg": "ready", "sid": sid(20), "attrs": {}, "text": TEXT}));
+    assert_eq!(c.hear()["msg"], "ready");
+    // The process dies: nobody listens, and its connections are reset (unread bytes make a close a reset).
+    c.say(open(&sid(22), 1, 9000));
+    until("the last set-up has come", || {
+        let mut seen = [0; 4096];
+        let n = x[0].stream.peek(&mut seen).unwrap();
+        String::from_utf8_lossy(&seen[..n]).contains(&sid(22)).then_some(())
+    });
+    drop(l);
+    x.clear();
+    let mut codes: Vec<(String, u64)> = Vec::new();
+    while !codes.iter().any(|k| k.0 == sid(20)) {
+        let got = c.hear();
+        codes.push((got["sid"].as_str().unwrap().to_owned(), got["code"].as_u64().unwrap()));
+    }
+    assert!(codes.contains(&(sid(20), 41)), "the call that stood is cut: {codes:?}");
+    // Another exchange comes up at the old address, and is told of by the coordinator.
+    let l2 = TcpListener::bind(at).unwrap();
+    let mut stream = Coordinator::accept(&feed);
+    assert_eq!(stream.last, "3", "from the last event known");
+    stream.event(&update(4, false, &[member("s-1", at, 1, "removed"), member("s-new", at, 1, "up")]));
+    let mut y = until("the new exchange answers a call", || {
+        let mut y = accept(&l2);
+        y.stream.set_read_timeout(Some(Duration::from_millis(700))).unwrap();
+        c.say(open(&sid(30), 1, 9000));
+        let mut line = String::new();
+        y.reader.read_line(&mut line).is_ok_and(|_| line.contains("open")).then_some(y)
+    });
+    y.say(json!({"msg": "ready", "sid": sid(30), "attrs": {}, "text": TEXT}));
+    assert_eq!(c.about(&sid(30))["msg"], "ready");
+    // The stream ends, and is taken up again after the last event that came.
+    drop(stream);
+    assert_eq!(Coordinator::accept(&feed).last, "4");
+}
+
+/// One connection of the coordinator's stream.
+struct Coordinator {
+    stream: TcpStream,
+    last: String,
+}
+
+impl Coordinator {
+    fn accept(feed: &TcpListener) -> Coordinator {
+        let mut stream = feed.accept().unwrap().0;
+        let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+        assert_eq!(lines.next().unwrap(), "GET /v2/stream HTTP/1.1");
+        let head: Vec<String> = lines.take_while(|l| !l.is_empty()).collect();
+        let last = head.iter().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap().to_owned();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n").unwrap();
+        Coordinator { stream, last }
+    }
+    fn event(&mut self, update: &Value) {
+        write!(self.stream, "id: {}\ndata: {update}\n\n", update["index"]).unwrap();
+    }
+}
+
+#[test]
+fn nothing_new_is_sent_to_an_exchange_that_drains() {
+    let (l, feed) = (listener(), listener());
+    let (_p, callers, mut x) = start(&[&l], json!({"coordinator": feed.local_addr().unwrap().to_string()}));
+    let mut stream = Coordinator::accept(&feed);
+    stream.event(&update(4, false, &[member("s-1", l.local_addr().unwrap(), 1, "draining")]));
+    std::thread::sleep(Duration::from_millis(300));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(40), 1, 1500));
+    assert_eq!(c.about(&sid(40))["msg"], "close");
+    x[0].quiet(Duration::from_millis(300));
+}
+
+#[test]
+fn after_sigterm_it_goes_on_accepting_for_a_while_and_answers_all_that_it_took() {
+    let l = listener();
+    let (mut p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(50), 1, 9000));
+    x[0].about(&sid(50));
+    p.signal("TERM");
+    std::thread::sleep(Duration::from_millis(100));
+    let mut d = Line::to(callers);
+    d.say(open(&sid(51), 1, 9000));
+    x[0].about(&sid(51));
+    std::thread::sleep(Duration::from_millis(1_300));
+    assert!(p.child.try_wait().unwrap().is_none(), "two calls are open");
+    for (n, line) in [(50, &mut c), (51, &mut d)] {
+        x[0].say(json!({"msg": "close", "sid": sid(n), "attrs": {"note": "end_queue_long"}, "code": 34}));
+        assert_eq!(line.about(&sid(n))["code"], 34);
+    }
+    assert!(p.end().success());
+    assert!(p.said("t: ").contains("calls.offered=2"), "counters at exit");
+    assert!(c.ended());
+}
+
+#[test]
+fn a_bad_configuration_is_named_by_its_key_before_anything_listens() {
+    for (more, key) in [
+        (json!({"listen": "nowhere"}), "listen"),
+        (json!({"coordinator": "x"}), "coordinator"),
+        (json!({"peers": ["127.0.0.1"]}), "peers"),
+        (json!({"limits": {"sockets": 3}}), "limits.sockets"),
+        (json!({"settings": {"classes": [{"name": "a"}]}}), "settings.classes.0.giveUp"),
+    ] {
+        let mut p = Program::start(&[("--config", &file("bad.json", &config(more).to_string()))], &[]);
+        assert_eq!(p.end().code(), Some(1));
+        assert!(p.said("configuration: ").starts_with(key), "{key}");
+    }
+}
