End a held call a whole tick before its caller gives up

Cause: `on_ended` and `on_call` hold a call up to `deadline - ANSWER_EARLY`, 30 ms, but held calls are looked at once in a tick of 50 ms. A new test over every patience finds answers up to 24 ms after the deadline; the rule allows 20.

Now 60 ms, more than a tick and the simulator's own step.

--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -49,8 +49,9 @@
 const STALL: Micros = 250_000;
 /// Housekeeping: held calls, releases, list (µs).
 const TICK: Micros = 50_000;
-/// A final answer goes out at least this long before the caller gives up (µs).
-const ANSWER_EARLY: Micros = 30_000;
+/// A held call is ended at the latest this long before its caller gives up (µs). Danger: it is looked at once
+/// in a tick, so that with less than a tick its answer can come after its caller has given up.
+const ANSWER_EARLY: Micros = 60_000;
 /// An office is silent when its oldest set-up has been out for this share of the mean aim and it has
 /// answered nothing since.
 const SILENCE: f64 = 0.5;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -842,3 +842,24 @@
     }
     assert_eq!(reached, 2);
 }
+
+#[test]
+fn a_call_that_waited_for_its_release_is_answered_before_its_caller_gives_up() {
+    // Each patience meets the housekeeping ticks at another moment.
+    for patience in (390..480).map(|ms| ms * MS) {
+        let mut b = Bed::new();
+        let deadline = b.now + patience;
+        b.tell(Event::Call(NewCall { patience, ..call(1, 1) }));
+        b.now += 50 * MS;
+        let mut said = b.tell(ended(1, 0, 1, Ending::Reset, Cause::None));
+        (1..5).for_each(|n| drop(b.tell(group(n, 0.0))));
+        let answer = |a: &Action| matches!(a, Action::Refuse { .. } | Action::Fail(_));
+        while !said.iter().any(answer) {
+            assert!(b.now < deadline, "patience {patience}");
+            // As the simulator's clock, which runs in steps of 5 ms, makes a tick late.
+            b.now += 55 * MS;
+            said = b.tell(Event::Timer(0));
+        }
+        assert!(b.now <= deadline, "patience {patience}: {} late", b.now - deadline);
+    }
+}
