Let the windows of a busy site widen with its rate of set-ups

The widest window is now what is sent within the target delay at the rate of late, at the least the old 5.

--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -59,7 +59,7 @@
 const OVERTAKEN: f64 = 0.4;
 /// First wait before a shut office is tried again; doubles up to `MARK` (µs).
 const RETRY_FIRST: Micros = 500_000;
-/// Set-ups that may be out through a fully open gate.
+/// Set-ups that may be out through a fully open gate, where set-ups are few; see `Controller::widest`.
 const GATE_WIDEST: f64 = 5.0;
 /// The own window never narrows below this: one set-up out at a time leaves the processor idle while the
 /// answer travels, and a single lost one stops every call.
@@ -140,10 +140,10 @@
     }
 
     /// A set-up stood after `took`; `delay` is what it tells of this gate's processor.
-    fn stood(&mut self, now: Micros, took: Micros, delay: f64, target: f64, least: f64) {
+    fn stood(&mut self, now: Micros, took: Micros, delay: f64, target: f64, (least, widest): (f64, f64)) {
         self.wait = RETRY_FIRST;
         if delay <= target {
-            self.width = (self.width + GATE_STEP).min(GATE_WIDEST);
+            self.width = (self.width + GATE_STEP).min(widest);
         } else if now - took > self.cut {
             self.width = (self.width * GATE_CUT).max(least);
             self.cut = now;
@@ -418,6 +418,14 @@
         self.sent.len() as f64 / span as f64 / self.ready.max(1) as f64
     }
 
+    /// Set-ups that may be out through a fully open gate: as many as are sent within the target delay, at the
+    /// least `GATE_WIDEST`. Danger: a fixed window caps the rate at its width over the set-up delay, and a site
+    /// with many quick set-ups turns calls away that its processors and circuits could take.
+    fn widest(&self, now: Micros) -> f64 {
+        let own = self.usual_rate(now) * self.ready.max(1) as f64;
+        GATE_WIDEST.max(own * TARGET * self.mean_aim)
+    }
+
     /// The design's "accepting": not pressed by the last news of its processor, nor by a set-up out long.
     fn accepting(&self, now: Micros, o: &Office) -> bool {
         now >= o.pressed && o.age(now) <= PHI * FULL_WAIT * self.shortest_aim as f64
@@ -645,7 +653,7 @@
     // ---- Outcomes ----
 
     fn on_stands(&mut self, now: Micros, id: CallId, office: OfficeId, took: Micros) {
-        let target = TARGET * self.mean_aim;
+        let (target, widest) = (TARGET * self.mean_aim, self.widest(now));
         let took = if now == self.woke { (took - self.stood_still).max(0) } else { took };
         let quick = took as f64 <= PHI * FULL_WAIT * self.shortest_aim as f64;
         if let Some(&i) = self.by_id.get(&office) {
@@ -662,8 +670,8 @@
             if late || self.calls.get(&id).is_some_and(|c| c.ran) {
                 self.lost += LUCK_SMOOTH * (f64::from(u8::from(!late)) - self.lost);
             }
-            o.gate.stood(now, took, took as f64, target, 1.0);
-            self.own_gate.stood(now, took, self.own_delay(now), target, OWN_LEAST);
+            o.gate.stood(now, took, took as f64, target, (1.0, widest));
+            self.own_gate.stood(now, took, self.own_delay(now), target, (OWN_LEAST, widest));
             let to = self.calls.get(&id).map(|c| c.ask.destination);
             let beyond = to.filter(|&to| to != self.offices[i].exchange);
             if quick || beyond.is_none() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -863,3 +863,24 @@
         assert!(b.now <= deadline, "patience {patience}: {} late", b.now - deadline);
     }
 }
+
+#[test]
+fn the_windows_of_a_busy_site_grow_with_its_rate_and_those_of_a_quiet_one_do_not() {
+    // Set-ups that are out when the windows are full, after set-ups that stood within 20 ms this often.
+    let out_after = |gap: Micros| {
+        let mut b = Bed::new();
+        for id in 0..400 {
+            let to = 1 + (id % 4) as u16;
+            b.tell(group(to, 20.0));
+            b.call(id, to);
+            b.now += gap;
+            b.tell(stands(id, to, gap.min(20 * MS)));
+            b.tell(Event::Timer(0));
+        }
+        (1..5).for_each(|n| drop(b.tell(group(n, 90.0))));
+        (1_000..1_200).map(|id| sent(&b.call(id, 1 + (id % 4) as u16)).len()).sum::<usize>()
+    };
+    let (busy, quiet) = (out_after(5 * MS), out_after(150 * MS));
+    assert!(busy > 20, "{busy}");
+    assert_eq!(quiet, 5);
+}
