Add the console, counters on request, and OTLP export off the routing task

Seen: an operator could not look into a running program, and nothing was exported. Ruled out: printing or exporting from the task that owns routing; a terminal or collector that stands still would stop calls.

Console commands (help, status, exchanges, calls, counters, config, drain, quit) behind `--console`; SIGUSR1 writes the counters to the log.

Conclusion: what the program does can be seen without touching what it does.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -50,6 +50,8 @@
     pub config: Option<PathBuf>,
     /// The gateways' file, in place of `deploy/mgcp.toml`.
     pub mgcp: Option<PathBuf>,
+    /// The exporter's file, in place of `deploy/telemetry.toml`.
+    pub telemetry: Option<PathBuf>,
     /// Only check the configuration.
     pub check: bool,
     /// Print the help and end.
@@ -65,9 +67,13 @@
             "--console" => out.console = true,
             "--check" => out.check = true,
             "--help" | "-h" => out.help = true,
-            "--config" | "--mgcp" => {
+            "--config" | "--mgcp" | "--telemetry" => {
                 let path = words.next().ok_or_else(|| ConfigError::Missing(format!("{word} FILE")))?;
-                let place = if word == "--config" { &mut out.config } else { &mut out.mgcp };
+                let place = match word.as_str() {
+                    "--config" => &mut out.config,
+                    "--mgcp" => &mut out.mgcp,
+                    _ => &mut out.telemetry,
+                };
                 *place = Some(path.into());
             }
             _ => return Err(ConfigError::Argument(word)),
@@ -109,6 +115,19 @@
     pub connect_timeout: Micros,
     /// The front towards gateways, if it is on.
     pub mgcp: Option<MgcpConfig>,
+    /// The exporter, if it is on.
+    pub telemetry: Option<TelemetryConfig>,
+}
+
+/// The exporter of metrics and spans.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TelemetryConfig {
+    /// The collector.
+    pub collector: SocketAddr,
+    /// Time between two exports.
+    pub interval: Micros,
+    /// Whether each call makes a span.
+    pub spans: bool,
 }
 
 /// The front towards gateways.
@@ -122,6 +141,8 @@
 
 /// Where the gateways' file lies, from the folder that the program is started in.
 const MGCP_FILE: &str = "deploy/mgcp.toml";
+/// Where the exporter's file lies.
+const TELEMETRY_FILE: &str = "deploy/telemetry.toml";
 
 /// Reads the configuration: the file, then the environment's name and address where the file has none.
 pub fn load(arguments: &Arguments, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
@@ -135,9 +156,12 @@
         }
     }
     let mut config = parse(&json)?;
-    if let Some(text) = optional("deploy/mgcp.toml", arguments.mgcp.as_deref(), MGCP_FILE)? {
+    if let Some(text) = optional(MGCP_FILE, arguments.mgcp.as_deref(), MGCP_FILE)? {
         config.mgcp = mgcp(&text, &config)?;
     }
+    if let Some(text) = optional(TELEMETRY_FILE, arguments.telemetry.as_deref(), TELEMETRY_FILE)? {
+        config.telemetry = telemetry(&text)?;
+    }
     Ok(config)
 }
 
@@ -238,6 +262,61 @@
     Ok(Some(MgcpConfig { listen, agent }))
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TelemetryFile {
+    #[serde(default)]
+    enabled: bool,
+    endpoint: Option<String>,
+    interval_ms: Option<u32>,
+    #[serde(default)]
+    spans: bool,
+}
+
+/// Checks the exporter's file; `None` where it leaves the exporter off.
+pub fn telemetry(text: &str) -> Result<Option<TelemetryConfig>, ConfigError> {
+    let file: TelemetryFile =
+        toml::from_str(text).map_err(|e| bad("telemetry.toml", e.to_string().trim()))?;
+    if !file.enabled {
+        return Ok(None);
+    }
+    let endpoint = file.endpoint.ok_or_else(|| ConfigError::Missing("telemetry.endpoint".to_owned()))?;
+    let place = endpoint.strip_prefix("http://").map(|p| p.strip_suffix('/').unwrap_or(p));
+    let place = place.ok_or_else(|| bad("telemetry.endpoint", "does not begin with http://"))?;
+    let collector = loopback("telemetry.endpoint", place)?;
+    let interval = file.interval_ms.unwrap_or(10_000);
+    if !(100..=3_600_000).contains(&interval) {
+        return Err(bad("telemetry.interval_ms", "not from 100 to 3600000"));
+    }
+    let interval = Micros::from(interval) * 1000;
+    Ok(Some(TelemetryConfig { collector, interval, spans: file.spans }))
+}
+
+impl Config {
+    /// What the program was told, in lines.
+    pub fn summary(&self) -> String {
+        let place = |a: &Option<SocketAddr>| a.map_or("none".to_owned(), |a| a.to_string());
+        let gateways = self.mgcp.as_ref().map_or("off".to_owned(), |m| {
+            let names: Vec<&str> = m.agent.gateways.iter().map(|g| g.name.as_str()).collect();
+            format!("at {}: {}", m.listen, names.join(" "))
+        });
+        let export = self.telemetry.as_ref().map_or("off".to_owned(), |t| {
+            format!("to {} every {} ms, spans {}", t.collector, t.interval / 1000, t.spans)
+        });
+        format!(
+            "name {}\nlisten {}\ncoordinator {}\npeers {}, listening at {}\nclasses {}\nsockets {}\n\
+             gateways {gateways}\ntelemetry {export}\n",
+            self.name,
+            self.listen,
+            place(&self.coordinator),
+            self.peers.len(),
+            place(&self.peer_listen),
+            self.classes.join(" "),
+            self.sockets,
+        )
+    }
+}
+
 fn loopback(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
     let address: SocketAddr =
         text.parse().map_err(|_| bad(key, format!("{text:?} is no address with a port")))?;
@@ -318,6 +397,7 @@
         zones: names("failureDomains"),
         connect_timeout: (connect_timeout * 1000.0) as Micros,
         mgcp: None,
+        telemetry: None,
     })
 }
 
--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -34,6 +34,8 @@
     pub gateways_in: u64,
     /// Datagrams to gateways.
     pub gateways_out: u64,
+    /// Spans dropped since too many calls were answered between two exports.
+    pub spans_dropped: u64,
 }
 
 /// All counters as names and values, in a fixed order.
@@ -70,6 +72,7 @@
         ("peers.out", w.peers_out),
         ("gateways.in", w.gateways_in),
         ("gateways.out", w.gateways_out),
+        ("otlp.spans_dropped", w.spans_dropped),
     ]
     .into_iter()
     .map(|(name, value)| (name.to_owned(), value))
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod clock;
 pub mod config;
+pub mod console;
 pub mod counters;
 pub mod run;
 pub mod switchboard;
+pub mod telemetry;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -2,9 +2,10 @@
 
 use super::clock::Clock;
 use super::config::{self, Config, ConfigError};
-use super::counters;
 use super::switchboard::{Switchboard, Task};
+use super::{console, counters, telemetry};
 use crate::protocol::mgcp::message;
+use crate::protocol::otlp::{Encoder, Snapshot};
 use crate::routing::interface::Micros;
 use crate::transport::{coordinator, datagrams, signals, streams, Inbound};
 use async_channel::{bounded, Receiver, Sender};
@@ -19,6 +20,8 @@
 const INBOX: usize = 1024;
 /// News taken in one turn, so that deadlines are swept however much comes.
 const TURN: usize = 256;
+/// Snapshots that may wait for the exporter.
+const SNAPSHOTS: usize = 4;
 /// Datagrams that may wait to be sent; more are lost, as datagrams may be.
 const DATAGRAMS: usize = 256;
 /// What waits to be sent at the end has this long to go out (µs).
@@ -27,9 +30,10 @@
 const PEER_LONGEST: usize = 256;
 
 const HELP: &str = "walnuthatch: a session controller for the trunk groups between small exchanges
-usage: walnuthatch [--config FILE] [--mgcp FILE] [--console] [--check]
+usage: walnuthatch [--config FILE] [--mgcp FILE] [--telemetry FILE] [--console] [--check]
   --config FILE  the configuration, in place of the file that ROUTER_CONFIG names
   --mgcp FILE    the gateways' file, in place of deploy/mgcp.toml
+  --telemetry FILE  the exporter's file, in place of deploy/telemetry.toml
   --console      read line commands from standard input
   --check        check the configuration and end";
 
@@ -64,10 +68,10 @@
         return Ok(());
     }
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, executor.clone())))
+    async_io::block_on(executor.run(serve(config, arguments.console, executor.clone())))
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), RunError> {
+async fn serve(config: Config, commands: bool, executor: Rc<LocalExecutor<'static>>) -> Result<(), RunError> {
     let clock = Clock::start();
     let listen = |key, address| move |why| RunError::Listen { key, address, why };
     let listener = Async::<TcpListener>::bind(config.listen).map_err(listen("listen", config.listen))?;
@@ -106,32 +110,69 @@
     }
     let ears = streams::listen(listener, executor.clone(), inbox.clone());
     executor.spawn(async move { drop(ears.await) }).detach();
+    if commands {
+        let (lines, inbox) = (console::listen(), inbox.clone());
+        let pass_on = async move {
+            while let Ok(line) = lines.recv().await {
+                if inbox.send(Inbound::Command(line)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        executor.spawn(pass_on).detach();
+    }
     let board = Switchboard::new(&config, clock.now());
-    let board = route(board, clock, news, inbox, (peers, gateways), &executor).await;
+    let (snapshots, snapshot_queue) = bounded(SNAPSHOTS);
+    if let Some(t) = &config.telemetry {
+        let encoder = Encoder::new(config.name.clone(), clock.now(), config.seed);
+        executor.spawn(telemetry::export(t.collector, encoder, snapshot_queue, board.exported())).detach();
+    }
+    let answers = commands.then(console::print);
+    let out = Outlets { inbox, peers, gateways, snapshots, answers, log: console::log() };
+    let board = route(board, clock, news, out, &executor).await;
     eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
     Ok(())
 }
 
+/// The queues that the task that owns routing puts into; it waits for none of them.
+struct Outlets {
+    inbox: Sender<Inbound>,
+    peers: Sender<datagrams::Outgoing>,
+    gateways: Sender<datagrams::Outgoing>,
+    snapshots: Sender<Snapshot>,
+    answers: Option<Sender<String>>,
+    log: Sender<String>,
+}
+
+impl Outlets {
+    /// What does not fit in a queue is lost: datagrams may be, and figures come again.
+    fn carry_out(&self, task: Task, executor: &LocalExecutor<'static>) {
+        match task {
+            Task::Connect(conn, address, outbox) => {
+                executor.spawn(streams::open(address, conn, outbox, self.inbox.clone())).detach();
+            }
+            Task::Peer(to, body) => drop(self.peers.try_send((to, body))),
+            Task::Gateway(to, body) => drop(self.gateways.try_send((to, body))),
+            Task::Export(snapshot) => drop(self.snapshots.try_send(snapshot)),
+            Task::Print(text) => drop(self.answers.as_ref().map(|a| a.try_send(text))),
+            Task::Log(line) => drop(self.log.try_send(format!("walnuthatch: {line}\n"))),
+            // The list comes by itself, and the stream is taken up again by its own task.
+            Task::Refetch => {}
+        }
+    }
+}
+
 /// The task that owns routing: waits for news or the next deadline, takes in what has come, sweeps.
 async fn route(
     mut board: Switchboard,
     clock: Clock,
     news: Receiver<Inbound>,
-    inbox: Sender<Inbound>,
-    (peers, gateways): (Sender<datagrams::Outgoing>, Sender<datagrams::Outgoing>),
+    out: Outlets,
     executor: &LocalExecutor<'static>,
 ) -> Switchboard {
     loop {
         for task in board.take_tasks() {
-            match task {
-                Task::Connect(conn, address, outbox) => {
-                    executor.spawn(streams::open(address, conn, outbox, inbox.clone())).detach();
-                }
-                // A full queue loses the datagram.
-                Task::Peer(to, body) => drop(peers.try_send((to, body))),
-                Task::Gateway(to, body) => drop(gateways.try_send((to, body))),
-                Task::Refetch => {}
-            }
+            out.carry_out(task, executor);
         }
         let first = wait(&clock, board.next_deadline(), &news).await;
         let more = std::iter::from_fn(|| news.try_recv().ok()).take(TURN);
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -1,22 +1,27 @@
 //! The one task's state: it owns the ledger with the decision module in it, the fronts, the links and every
 //! deadline. News comes in, [`Switchboard::turn`] settles it, and lines go to the connections' outboxes.
 
-use super::config::Config;
+use super::config::{Config, TelemetryConfig};
+use super::console;
 use super::counters::{self, WireCounts};
+use super::telemetry::ExportCounts;
 use crate::protocol::callers::{Ask, Callers, ToCaller};
 use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{Place, Roster};
 use crate::protocol::mgcp::agent::{Agent, AgentDue, AgentOutput};
+use crate::protocol::otlp::{CallSpan, Snapshot};
 use crate::protocol::ConnId;
 use crate::routing::deadlines::Deadlines;
-use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
-use crate::routing::ledger::{FrontId, Ledger, LedgerDue, Output};
+use crate::routing::interface::{CallId, ExchangeNo, ListEntry, ListNews, LoadReport, Micros, PeerNo};
+use crate::routing::ledger::{Answer, CallView, FrontId, Ledger, LedgerDue, Output};
 use crate::transport::outbox::Outbox;
 use crate::transport::{ConnNews, Inbound, Side};
 use serde_json::Value;
 use std::collections::HashMap;
+use std::fmt::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// The platform's front.
 pub const LINES: FrontId = FrontId(0);
@@ -31,6 +36,9 @@
 /// After a request to stop, calls that stand are waited for this long (µs).
 const STOP_STANDING: Micros = 8_000_000;
 
+/// Spans kept between two exports; more are dropped.
+const SPANS: usize = 512;
+
 /// Everything that can fall due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
@@ -40,6 +48,8 @@
     Link(LinkDue),
     /// The call agent's.
     Agent(AgentDue),
+    /// Hand the figures to the exporter.
+    Export,
     /// Look whether the program may end.
     Stop,
 }
@@ -53,6 +63,12 @@
     Peer(SocketAddr, Vec<u8>),
     /// Send a datagram to a gateway.
     Gateway(SocketAddr, Vec<u8>),
+    /// Hand these figures to the exporter.
+    Export(Snapshot),
+    /// Print the answer to a command.
+    Print(String),
+    /// Write a line to the log.
+    Log(String),
     /// Ask the coordinator anew.
     Refetch,
 }
@@ -75,6 +91,12 @@
     most_callers: usize,
     born: Micros,
     stopping: Option<Micros>,
+    /// The operator wants no new calls.
+    draining: bool,
+    told: String,
+    telemetry: Option<TelemetryConfig>,
+    spans: Vec<CallSpan>,
+    exported: Rc<ExportCounts>,
     minted: u64,
 }
 
@@ -97,8 +119,16 @@
             most_callers: config.sockets / CALLERS_SHARE,
             born: now,
             stopping: None,
+            draining: false,
+            told: config.summary(),
+            telemetry: config.telemetry.clone(),
+            spans: Vec::new(),
+            exported: Rc::default(),
             minted: config.seed,
         };
+        if let Some(t) = &board.telemetry {
+            board.deadlines.add(now + t.interval, Due::Export);
+        }
         let gateways = board.gateway_entries();
         if !gateways.is_empty() {
             board.ledger.list(now, ListNews::Cached(gateways.into()));
@@ -131,7 +161,14 @@
                     agent.datagram(now, from, &body);
                 }
             }
-            Inbound::Command(_) => {}
+            Inbound::Command(line) => {
+                let text = console::run(self, now, &line);
+                self.tasks.push(Task::Print(text));
+            }
+            Inbound::Report => {
+                let line = counters::line(&self.counters());
+                self.tasks.push(Task::Log(line));
+            }
             Inbound::Stop => self.stop(now),
         }
         self.settle(now);
@@ -148,6 +185,7 @@
                         agent.due(now, due);
                     }
                 }
+                Due::Export => self.export(now),
                 Due::Stop => {}
             }
             self.settle(now);
@@ -185,15 +223,110 @@
     pub fn counters(&self) -> Vec<(String, u64)> {
         let (callers, links) = (self.callers.counts(), self.links.counts());
         let mut table = counters::table(&self.counts, self.ledger.tally(), &callers, &links);
+        if self.telemetry.is_some() {
+            table.extend(self.exported.table());
+        }
         if let Some(agent) = &self.agent {
             table.extend(counters::agent_table(&agent.counts(), agent.repeats()));
         }
         table
     }
 
+    // ---- Telemetry ----
+
+    /// The exporter's counts, shared with its task.
+    pub fn exported(&self) -> Rc<ExportCounts> {
+        self.exported.clone()
+    }
+
+    fn span(&mut self, call: CallId, answer: &Answer, (from, to): (Micros, Micros), destination: ExchangeNo) {
+        if !self.telemetry.as_ref().is_some_and(|t| t.spans) {
+            return;
+        }
+        if self.spans.len() >= SPANS {
+            self.counts.spans_dropped += 1;
+            return;
+        }
+        let answer = match answer {
+            Answer::Stands(_) => "stands",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        };
+        self.spans.push(CallSpan { call: call.0, from, to, destination: destination.0, answer });
+    }
+
+    fn export(&mut self, now: Micros) {
+        let Some(interval) = self.telemetry.as_ref().map(|t| t.interval) else { return };
+        self.deadlines.add(now + interval, Due::Export);
+        let gauges = self.gauges().map(|(name, v)| (name.to_owned(), v)).to_vec();
+        let calls = std::mem::take(&mut self.spans);
+        self.tasks.push(Task::Export(Snapshot { at: now, counters: self.counters(), gauges, calls }));
+    }
+
+    fn gauges(&self) -> [(&'static str, u64); 4] {
+        let of = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
+        [
+            ("calls.open", of(self.ledger.open_calls())),
+            ("calls.standing", of(self.ledger.standing_calls())),
+            ("connections", of(self.outboxes.len())),
+            ("deadlines", of(self.deadlines.len())),
+        ]
+    }
+
+    // ---- The console ----
+
+    /// The state in a few lines.
+    pub fn status(&self, now: Micros) -> String {
+        let phase = match (self.stopping.is_some(), self.draining) {
+            (true, _) => "stopping",
+            (false, true) => "draining",
+            (false, false) if self.links.settled() => "serving",
+            (false, false) => "starting",
+        };
+        let mut out = format!("state {phase}, up {} s\n", (now - self.born) / 1_000_000);
+        for (name, value) in self.gauges() {
+            // Writing to a string can't fail.
+            let _ = writeln!(out, "{name} {value}");
+        }
+        out
+    }
+
+    /// A line for each exchange and each gateway.
+    pub fn exchanges(&self) -> Vec<String> {
+        let links = self.links.views().map(|(_, place, state, up)| {
+            let line = if up { "connected" } else { "not connected" };
+            format!("exchange {} at {}: {state:?}, {line}", place.member, place.address)
+        });
+        let gateways = self.agent.iter().flat_map(Agent::views).map(|(name, state, free, all)| {
+            format!("gateway {name}: {state:?}, {free} of {all} endpoints free")
+        });
+        links.chain(gateways).collect()
+    }
+
+    /// A line for each call that is open or stands.
+    pub fn call_lines(&self, now: Micros) -> Vec<String> {
+        let line = |v: CallView| {
+            let front = if v.front == GATEWAYS { "gateway" } else { "lines" };
+            let since = v.since.map_or(String::new(), |s| format!(" for {} ms", (now - s) / 1000));
+            format!("call {} from {front} to exchange {}: {}{since}", v.call.0, v.destination.0, v.doing)
+        };
+        self.ledger.views().map(line).collect()
+    }
+
+    /// What the program was told.
+    pub fn told(&self) -> &str {
+        &self.told
+    }
+
+    /// Fails the platform's tests from now on, or no longer.
+    pub fn drain(&mut self, on: bool) {
+        self.draining = on;
+    }
+
     // ---- News ----
 
-    fn stop(&mut self, now: Micros) {
+    /// Asks for a stop: calls are taken for a while yet, and all that was taken is answered.
+    pub fn stop(&mut self, now: Micros) {
         if self.stopping.is_none() {
             self.stopping = Some(now);
             for at in [STOP_WINDOW, STOP_STANDING] {
@@ -255,7 +388,7 @@
             Ask::Left(call) => self.ledger.caller_left(now, call),
             Ask::Test(sid) => {
                 let ready = self.links.settled() || now - self.born >= SETTLE;
-                let code = u16::from(ready && self.stopping.is_none());
+                let code = u16::from(ready && self.stopping.is_none() && !self.draining);
                 let message = Message { code: Some(code), ..Message::new(Kind::Probed, sid) };
                 self.tell_caller(ToCaller { conn, message });
             }
@@ -270,7 +403,7 @@
             Ok(update) => update,
             Err(e) => {
                 self.counts.bad_list_events += 1;
-                return eprintln!("walnuthatch: coordinator: {e}");
+                return self.tasks.push(Task::Log(format!("coordinator: {e}")));
             }
         };
         let (entries, complete) = match &update.news {
@@ -333,14 +466,17 @@
                 Some(agent) if agent.has(office) => agent.clear(now, call, attempt),
                 _ => self.links.clear(now, call, attempt),
             },
-            Output::Answer { front, call, answer } => match &mut self.agent {
-                Some(agent) if front == GATEWAYS => agent.answer(now, call, &answer),
-                _ => {
-                    if let Some(m) = self.callers.answer(call, answer) {
-                        self.tell_caller(m);
+            Output::Answer { front, call, answer, taken, destination } => {
+                self.span(call, &answer, (taken, now), destination);
+                match &mut self.agent {
+                    Some(agent) if front == GATEWAYS => agent.answer(now, call, &answer),
+                    _ => {
+                        if let Some(m) = self.callers.answer(call, answer) {
+                            self.tell_caller(m);
+                        }
                     }
                 }
-            },
+            }
             Output::Release { front, call, cut } => match &mut self.agent {
                 Some(agent) if front == GATEWAYS => agent.release(now, call),
                 _ => {
@@ -352,7 +488,7 @@
             Output::Probe(office) => self.links.probe(now, office),
             Output::Tell { to, body } => self.tell_peers(to, body),
             Output::FetchList => self.tasks.push(Task::Refetch),
-            Output::Log(line) => eprintln!("walnuthatch: {line}"),
+            Output::Log(line) => self.tasks.push(Task::Log(line)),
             Output::Wake(at, due) => self.deadlines.add(at, Due::Ledger(due)),
         }
     }
--- /dev/null
+++ b/src/protocol/otlp.rs
@@ -0,0 +1,250 @@
+//! OTLP: requests for metrics and spans, and what a collector's response means, without input or output.
+
+use crate::routing::interface::Micros;
+use opentelemetry_proto::tonic::collector::metrics::v1::{
+    ExportMetricsServiceRequest, ExportMetricsServiceResponse,
+};
+use opentelemetry_proto::tonic::collector::trace::v1::{
+    ExportTraceServiceRequest, ExportTraceServiceResponse,
+};
+use opentelemetry_proto::tonic::common::v1::{any_value::Value, AnyValue, InstrumentationScope, KeyValue};
+use opentelemetry_proto::tonic::metrics::v1::{
+    metric::Data, number_data_point, AggregationTemporality, Gauge, Metric, NumberDataPoint, ResourceMetrics,
+    ScopeMetrics, Sum,
+};
+use opentelemetry_proto::tonic::resource::v1::Resource;
+use opentelemetry_proto::tonic::trace::v1::{
+    span::SpanKind, status::StatusCode, ResourceSpans, ScopeSpans, Span, Status,
+};
+use prost::Message;
+
+/// Which of the two requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Metrics.
+    Metrics,
+    /// Spans.
+    Spans,
+}
+
+impl Signal {
+    /// The path under the collector's address.
+    pub fn path(self) -> &'static str {
+        match self {
+            Signal::Metrics => "/v1/metrics",
+            Signal::Spans => "/v1/traces",
+        }
+    }
+}
+
+/// The figures at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// When, in Unix time.
+    pub at: Micros,
+    /// What only grows.
+    pub counters: Vec<(String, u64)>,
+    /// What goes up and down.
+    pub gauges: Vec<(String, u64)>,
+    /// Calls that were answered since the last one.
+    pub calls: Vec<CallSpan>,
+}
+
+/// One call, from its acceptance to its final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallSpan {
+    /// Its number.
+    pub call: u32,
+    /// When it was taken.
+    pub from: Micros,
+    /// When it was answered.
+    pub to: Micros,
+    /// Where it goes.
+    pub destination: u16,
+    /// How it was answered.
+    pub answer: &'static str,
+}
+
+/// Makes requests in the name of one program's life.
+#[derive(Clone, Debug)]
+pub struct Encoder {
+    name: String,
+    start: Micros,
+    seed: u64,
+}
+
+impl Encoder {
+    /// For a program of this name that began then; the seed keeps the spans of its lives apart.
+    pub fn new(name: String, start: Micros, seed: u64) -> Self {
+        Encoder { name, start, seed }
+    }
+
+    fn resource(&self) -> Option<Resource> {
+        let attributes = vec![
+            text("service.name", "walnuthatch"),
+            text("service.instance.id", &self.name),
+            text("service.version", env!("CARGO_PKG_VERSION")),
+        ];
+        Some(Resource { attributes, ..Resource::default() })
+    }
+
+    fn scope() -> Option<InstrumentationScope> {
+        Some(InstrumentationScope { name: "walnuthatch".to_owned(), ..InstrumentationScope::default() })
+    }
+
+    /// The body of a request for metrics.
+    pub fn metrics(&self, s: &Snapshot) -> Vec<u8> {
+        let point = |value: u64| NumberDataPoint {
+            start_time_unix_nano: nanos(self.start),
+            time_unix_nano: nanos(s.at),
+            value: Some(number_data_point::Value::AsInt(value.try_into().unwrap_or(i64::MAX))),
+            ..NumberDataPoint::default()
+        };
+        let named = |name: &str, data| Metric {
+            name: format!("walnuthatch.{name}"),
+            unit: "1".to_owned(),
+            data: Some(data),
+            ..Metric::default()
+        };
+        let sums = s.counters.iter().map(|(name, v)| {
+            let aggregation_temporality = AggregationTemporality::Cumulative as i32;
+            let data_points = vec![point(*v)];
+            named(name, Data::Sum(Sum { data_points, aggregation_temporality, is_monotonic: true }))
+        });
+        let gauges =
+            s.gauges.iter().map(|(name, v)| named(name, Data::Gauge(Gauge { data_points: vec![point(*v)] })));
+        let metrics = sums.chain(gauges).collect();
+        let scope = ScopeMetrics { scope: Self::scope(), metrics, ..ScopeMetrics::default() };
+        let all =
+            ResourceMetrics { resource: self.resource(), scope_metrics: vec![scope], ..Default::default() };
+        ExportMetricsServiceRequest { resource_metrics: vec![all] }.encode_to_vec()
+    }
+
+    /// The body of a request for spans.
+    pub fn spans(&self, calls: &[CallSpan]) -> Vec<u8> {
+        let span = |c: &CallSpan| {
+            let id = self.seed.rotate_left(32) ^ u64::from(c.call);
+            let failed = c.answer == "failed";
+            let code = if failed { StatusCode::Error } else { StatusCode::Unset };
+            Span {
+                trace_id: [self.seed.to_be_bytes(), id.to_be_bytes()].concat(),
+                span_id: id.max(1).to_be_bytes().to_vec(),
+                name: "call".to_owned(),
+                kind: SpanKind::Server as i32,
+                start_time_unix_nano: nanos(c.from),
+                end_time_unix_nano: nanos(c.to),
+                attributes: vec![
+                    text("walnuthatch.answer", c.answer),
+                    number("walnuthatch.destination", c.destination.into()),
+                ],
+                status: Some(Status { code: code as i32, ..Status::default() }),
+                ..Span::default()
+            }
+        };
+        let spans = calls.iter().map(span).collect();
+        let scope = ScopeSpans { scope: Self::scope(), spans, ..ScopeSpans::default() };
+        let all = ResourceSpans { resource: self.resource(), scope_spans: vec![scope], ..Default::default() };
+        ExportTraceServiceRequest { resource_spans: vec![all] }.encode_to_vec()
+    }
+}
+
+fn nanos(at: Micros) -> u64 {
+    u64::try_from(at).unwrap_or(0).saturating_mul(1000)
+}
+
+fn value(key: &str, value: Value) -> KeyValue {
+    KeyValue { key: key.to_owned(), value: Some(AnyValue { value: Some(value) }), ..KeyValue::default() }
+}
+
+fn text(key: &str, v: &str) -> KeyValue {
+    value(key, Value::StringValue(v.to_owned()))
+}
+
+fn number(key: &str, v: i64) -> KeyValue {
+    value(key, Value::IntValue(v))
+}
+
+/// What a collector's response means for the batch that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Taken; so many items were rejected, and must not be sent again.
+    Taken {
+        /// Items that were rejected.
+        rejected: u64,
+    },
+    /// Send it again, no sooner than this if that was said (µs).
+    Again(Option<Micros>),
+    /// It will never be taken.
+    Never,
+}
+
+/// Reads a response: its status, its Retry-After, its body.
+pub fn verdict(signal: Signal, status: u16, retry_after: Option<&str>, body: &[u8]) -> Verdict {
+    match status {
+        200..=299 => {
+            let rejected = match signal {
+                Signal::Metrics => ExportMetricsServiceResponse::decode(body)
+                    .ok()
+                    .and_then(|r| r.partial_success)
+                    .map_or(0, |p| p.rejected_data_points),
+                Signal::Spans => ExportTraceServiceResponse::decode(body)
+                    .ok()
+                    .and_then(|r| r.partial_success)
+                    .map_or(0, |p| p.rejected_spans),
+            };
+            Verdict::Taken { rejected: rejected.try_into().unwrap_or(0) }
+        }
+        429 | 502 | 503 | 504 => {
+            // The form with a date is passed over: the usual wait serves then.
+            let seconds = retry_after.and_then(|t| t.trim().parse::<u32>().ok());
+            Verdict::Again(seconds.map(|s| Micros::from(s.min(3600)) * 1_000_000))
+        }
+        _ => Verdict::Never,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use opentelemetry_proto::tonic::collector::metrics::v1::ExportMetricsPartialSuccess;
+
+    #[test]
+    fn metrics_read_back_as_they_were_told() {
+        let s = Snapshot {
+            at: 2_000_000,
+            counters: vec![("calls.offered".to_owned(), 7)],
+            gauges: vec![("calls.open".to_owned(), 3)],
+            calls: Vec::new(),
+        };
+        let body = Encoder::new("n3".to_owned(), 1_000_000, 9).metrics(&s);
+        let read = ExportMetricsServiceRequest::decode(&body[..]).unwrap();
+        let metrics = &read.resource_metrics[0].scope_metrics[0].metrics;
+        assert_eq!(metrics[0].name, "walnuthatch.calls.offered");
+        let Some(Data::Sum(sum)) = &metrics[0].data else { panic!("{metrics:?}") };
+        assert!(sum.is_monotonic && sum.data_points[0].start_time_unix_nano == 1_000_000_000);
+        assert_eq!(sum.data_points[0].value, Some(number_data_point::Value::AsInt(7)));
+        assert!(matches!(metrics[1].data, Some(Data::Gauge(_))));
+    }
+
+    #[test]
+    fn spans_have_ids_of_the_right_length_and_differ() {
+        let call = |call| CallSpan { call, from: 1, to: 2, destination: 4, answer: "failed" };
+        let body = Encoder::new("n3".to_owned(), 0, 9).spans(&[call(0), call(1)]);
+        let read = ExportTraceServiceRequest::decode(&body[..]).unwrap();
+        let spans = &read.resource_spans[0].scope_spans[0].spans;
+        assert_eq!((spans[0].trace_id.len(), spans[0].span_id.len()), (16, 8));
+        assert_ne!(spans[0].span_id, spans[1].span_id);
+    }
+
+    #[test]
+    fn responses_say_what_becomes_of_the_batch() {
+        let partial = ExportMetricsPartialSuccess { rejected_data_points: 2, ..Default::default() };
+        let body = ExportMetricsServiceResponse { partial_success: Some(partial) }.encode_to_vec();
+        let m = Signal::Metrics;
+        assert_eq!(verdict(m, 200, None, &body), Verdict::Taken { rejected: 2 });
+        assert_eq!(verdict(m, 200, None, b""), Verdict::Taken { rejected: 0 });
+        assert_eq!(verdict(m, 429, Some("3"), b""), Verdict::Again(Some(3_000_000)));
+        assert_eq!(verdict(m, 503, Some("Tue, 01 Dec"), b""), Verdict::Again(None));
+        assert_eq!(verdict(m, 400, Some("3"), b""), Verdict::Never);
+    }
+}
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -89,6 +89,10 @@
         call: CallId,
         /// The answer.
         answer: Answer,
+        /// When the call was taken.
+        taken: Micros,
+        /// Where it goes.
+        destination: ExchangeNo,
     },
     /// Tell the caller that a call that stood is over.
     Release {
@@ -163,12 +167,20 @@
 #[derive(Debug)]
 struct Entry {
     offer: Offer,
+    taken: Micros,
     deadline: Micros,
     stage: Stage,
     attempts: u8,
     quiet_until: Micros,
 }
 
+impl Entry {
+    fn answer(&self, call: CallId, answer: Answer) -> Output {
+        let (front, destination) = (self.offer.front, self.offer.ask.destination);
+        Output::Answer { front, call, answer, taken: self.taken, destination }
+    }
+}
+
 /// A line about one call, for the console.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallView {
@@ -227,7 +239,8 @@
         offer.ask.call = call;
         let ask = offer.ask.clone();
         let deadline = now.saturating_add(ask.patience.max(0));
-        let entry = Entry { offer, deadline, stage: Stage::Deciding, attempts: 0, quiet_until: 0 };
+        let entry =
+            Entry { offer, taken: now, deadline, stage: Stage::Deciding, attempts: 0, quiet_until: 0 };
         self.calls.insert(call, entry);
         self.tally.offered += 1;
         self.open += 1;
@@ -267,10 +280,11 @@
             return false;
         }
         entry.stage = Stage::Standing { attempt, office, since: now };
-        let front = entry.offer.front;
+        let answer = Answer::Stands(text);
+        let output = entry.answer(call, answer);
         self.open -= 1;
         self.tally.stood += 1;
-        self.out.push(Output::Answer { front, call, answer: Answer::Stands(text) });
+        self.out.push(output);
         self.drive(now, Event::Stands { call, attempt, office, took: now - since });
         true
     }
@@ -496,14 +510,13 @@
             Stage::Out { attempt, office, .. } => self.out.push(Output::Clear { call, attempt, office }),
             Stage::Deciding => {}
         }
-        let front = entry.offer.front;
-        self.calls.remove(&call);
-        self.open -= 1;
         match answer {
             Answer::Refused { .. } => self.tally.refused += 1,
             _ => self.tally.failed += 1,
         }
-        self.out.push(Output::Answer { front, call, answer });
+        self.out.push(entry.answer(call, answer));
+        self.calls.remove(&call);
+        self.open -= 1;
         true
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod coordinator;
 pub mod datagrams;
+pub mod http;
 pub mod outbox;
 pub mod signals;
 pub mod streams;
@@ -65,6 +66,8 @@
     },
     /// A line from the console.
     Command(String),
+    /// The counters are asked for.
+    Report,
     /// The program is asked to stop.
     Stop,
 }
--- a/src/transport/signals.rs
+++ b/src/transport/signals.rs
@@ -1,4 +1,4 @@
-//! SIGTERM and SIGINT.
+//! SIGTERM and SIGINT, which ask for a stop, and SIGUSR1, which asks for the counters.
 
 use super::Inbound;
 use async_channel::Sender;
@@ -6,11 +6,12 @@
 use futures_lite::StreamExt;
 use std::io;
 
-/// Passes on each request to stop.
+/// Passes on what each signal asks for.
 pub async fn watch(inbox: Sender<Inbound>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    while signals.next().await.is_some() {
-        if inbox.send(Inbound::Stop).await.is_err() {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])?;
+    while let Some(signal) = signals.next().await {
+        let news = if matches!(signal, Ok(Signal::Usr1)) { Inbound::Report } else { Inbound::Stop };
+        if inbox.send(news).await.is_err() {
             break;
         }
     }
