Ask the coordinator for the whole list when the module wants it

The coordinator task wrote its troubles to standard error itself, which may stand still.

The stream's task now takes the wish through a bounded queue and reads the list from its first event; why a stream was lost goes to the task that owns routing and from there to the log's queue.

--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -105,8 +105,11 @@
             }
         })
         .detach();
+    let (refetch, refetch_queue) = bounded(1);
     if let Some(address) = config.coordinator {
-        executor.spawn(coordinator::follow(address, config.known_index, inbox.clone())).detach();
+        executor
+            .spawn(coordinator::follow(address, config.known_index, refetch_queue, inbox.clone()))
+            .detach();
     }
     let ears = streams::listen(listener, executor.clone(), inbox.clone());
     executor.spawn(async move { drop(ears.await) }).detach();
@@ -128,7 +131,7 @@
         executor.spawn(telemetry::export(t.collector, encoder, snapshot_queue, board.exported())).detach();
     }
     let answers = commands.then(console::print);
-    let out = Outlets { inbox, peers, gateways, snapshots, answers, log: console::log() };
+    let out = Outlets { inbox, peers, gateways, snapshots, refetch, answers, log: console::log() };
     let board = route(board, clock, news, out, &executor).await;
     eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
     Ok(())
@@ -140,6 +143,7 @@
     peers: Sender<datagrams::Outgoing>,
     gateways: Sender<datagrams::Outgoing>,
     snapshots: Sender<Snapshot>,
+    refetch: Sender<()>,
     answers: Option<Sender<String>>,
     log: Sender<String>,
 }
@@ -156,8 +160,8 @@
             Task::Export(snapshot) => drop(self.snapshots.try_send(snapshot)),
             Task::Print(text) => drop(self.answers.as_ref().map(|a| a.try_send(text))),
             Task::Log(line) => drop(self.log.try_send(format!("walnuthatch: {line}\n"))),
-            // The list comes by itself, and the stream is taken up again by its own task.
-            Task::Refetch => {}
+            // One that waits already will do.
+            Task::Refetch => drop(self.refetch.try_send(())),
         }
     }
 }
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -148,7 +148,11 @@
         match news {
             Inbound::Conn(side, conn, news) => self.conn(now, side, conn, news),
             Inbound::List(event) => self.list(now, &event.data, false),
-            Inbound::Stream(up) => self.counts.stream_losses += u64::from(!up),
+            Inbound::Stream(Ok(())) => {}
+            Inbound::Stream(Err(why)) => {
+                self.counts.stream_losses += 1;
+                self.tasks.push(Task::Log(format!("coordinator: {why}")));
+            }
             Inbound::Peer { from, body } => {
                 if let Some(at) = self.peers.iter().position(|p| *p == from) {
                     self.counts.peers_in += 1;
--- a/src/transport/coordinator.rs
+++ b/src/transport/coordinator.rs
@@ -2,7 +2,7 @@
 
 use super::Inbound;
 use crate::protocol::server_events::{Dechunker, EventReader, StreamError};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::io;
@@ -30,21 +30,28 @@
     Head(#[from] httparse::Error),
     #[error("silent")]
     Silent,
+    #[error("it ended")]
+    Ended,
+    #[error("the whole list is asked for")]
+    Asked,
     #[error("the program ends")]
     Over,
 }
 
-/// Follows the stream for as long as the program runs, each time from the event after the last one that came.
-pub async fn follow(address: SocketAddr, mut last: u64, inbox: Sender<Inbound>) {
+/// Follows the stream for as long as the program runs, each time from the event after the last one that came, or
+/// from the first one when the whole list is asked for by `refetch`.
+pub async fn follow(address: SocketAddr, mut last: u64, refetch: Receiver<()>, inbox: Sender<Inbound>) {
     loop {
         let began = Instant::now();
-        match once(address, &mut last, &inbox).await {
-            Err(Lost::Over) => return,
-            Ok(()) => {}
-            Err(e) => eprintln!("walnuthatch: coordinator: {e}"),
-        }
-        if inbox.send(Inbound::Stream(false)).await.is_err() {
-            return;
+        match once(address, &mut last, &refetch, &inbox).await {
+            Lost::Over => return,
+            // The whole list is wanted: everything is asked for from the beginning.
+            Lost::Asked => last = 0,
+            e => {
+                if inbox.send(Inbound::Stream(Err(e.to_string()))).await.is_err() {
+                    return;
+                }
+            }
         }
         if began.elapsed() < AGAIN {
             Timer::after(AGAIN).await;
@@ -63,7 +70,18 @@
     future::or(async { work.await.map_err(Lost::from) }, late).await
 }
 
-async fn once(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
+async fn once(address: SocketAddr, last: &mut u64, refetch: &Receiver<()>, inbox: &Sender<Inbound>) -> Lost {
+    let asked = async {
+        match refetch.recv().await {
+            Ok(()) => Lost::Asked,
+            // Nobody can ask any more.
+            Err(_) => future::pending().await,
+        }
+    };
+    future::or(asked, async { read(address, last, inbox).await.err().unwrap_or(Lost::Ended) }).await
+}
+
+async fn read(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
     let mut stream = within(OPENING, Async::<TcpStream>::connect(address)).await?;
     let request = format!(
         "GET /v2/stream HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
@@ -91,7 +109,7 @@
             return Err(Lost::Status(None));
         }
     };
-    inbox.send(Inbound::Stream(true)).await.map_err(|_| Lost::Over)?;
+    inbox.send(Inbound::Stream(Ok(()))).await.map_err(|_| Lost::Over)?;
     let (mut chunks, mut reader) = (Dechunker::default(), EventReader::default());
     let mut bytes = body;
     loop {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -48,8 +48,8 @@
     Conn(Side, ConnId, ConnNews),
     /// An event of the coordinator.
     List(ServerEvent),
-    /// The coordinator's stream came up or was lost.
-    Stream(bool),
+    /// The coordinator's stream came up, or was lost for this reason.
+    Stream(Result<(), String>),
     /// A peer's datagram.
     Peer {
         /// Its address.
