Stop repeating CRCX once its port is cleared, found by a model of the agent

Seen: a new model of the call agent, checked against random steps of a gateway and of the core, found a CRCX repeated after the DLCX of the same call: a caller whose own connection was not made within its patience was cleared, and the connection would have been made anew with nobody to own it. Ruled out: the set-ups of the core, whose clearing stopped the repeats already. Cause: `Agent::delete` and `Agent::begin` left the port's CRCX transaction alone in every other case.

The port keeps the transaction of its CRCX, and clearing or starting a new use stops its repeats; a late answer is still heard and what it made is deleted. Conclusion: one place stops the repeats now, whatever the reason.

--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -162,7 +162,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 enum Stage {
-    Creating(u32),
+    Creating,
     Ringing(Option<Description>),
     Standing,
 }
@@ -175,6 +175,8 @@
     /// The call identifier of the present use.
     use_id: u64,
     connection: Option<String>,
+    /// The transaction of CRCX, while it is not answered.
+    creating: Option<u32>,
     /// The request that notifications must name.
     request: u32,
     number: Option<String>,
@@ -207,7 +209,16 @@
             for local in &g.endpoints {
                 let endpoint = Endpoint { local: local.clone(), domain: g.name.clone() };
                 let (role, use_id, request) = (Role::Idle, 0, 0);
-                ports.push(Port { endpoint, gateway, role, use_id, connection: None, request, number: None });
+                ports.push(Port {
+                    endpoint,
+                    gateway,
+                    role,
+                    use_id,
+                    connection: None,
+                    creating: None,
+                    request,
+                    number: None,
+                });
             }
         }
         let n = config.gateways.len();
@@ -485,7 +496,7 @@
             return self.request(now, p, Params::default().with("R", "L/hu(N)").with("S", "L/ro"));
         };
         let until = now + self.config.patience;
-        self.begin(p, Role::Preparing { to, number, until });
+        self.begin(now, p, Role::Preparing { to, number, until });
         let params = Params::default().with("M", "recvonly").with("R", "L/hu(N)");
         let id = self.ports[p].use_id;
         self.create(now, p, params, None);
@@ -545,6 +556,7 @@
             }
             return;
         }
+        self.ports[p].creating = None;
         let automatic = self.config.gateways[self.ports[p].gateway].answered_by == AnsweredBy::Connection;
         match (self.ports[p].role.clone(), good) {
             (Role::Preparing { to, number, until }, true) => {
@@ -615,7 +627,7 @@
         self.counts.unanswered += 1;
         match purpose {
             Purpose::Create(p, id) if self.ports[p].use_id == id => match self.ports[p].role.clone() {
-                Role::Called { call, attempt, stage: Stage::Creating(_) } => {
+                Role::Called { call, attempt, stage: Stage::Creating } => {
                     // Nothing proves that it did not run: it counts as timed out, and is cleared.
                     self.legs.remove(&call);
                     self.out.push(AgentOutput::Ended(call, attempt, codes::outcome(406)));
@@ -695,7 +707,7 @@
             return self.out.push(AgentOutput::Ended(call, attempt, codes::outcome(410)));
         };
         self.turns[g] = ports.iter().position(|&q| q == p).unwrap_or(0) + 1;
-        self.begin(p, Role::Called { call, attempt, stage: Stage::Creating(0) });
+        self.begin(now, p, Role::Called { call, attempt, stage: Stage::Creating });
         self.legs.insert(call, p);
         let mut params = Params::default().with("M", "sendrecv");
         if self.config.gateways[g].answered_by == AnsweredBy::OffHook {
@@ -703,26 +715,17 @@
         } else {
             params = params.with("R", "L/hu(N)");
         }
-        let transaction = self.create(now, p, params, description.map(|d| d.0.to_string()));
-        if let Role::Called { stage, .. } = &mut self.ports[p].role {
-            *stage = Stage::Creating(transaction);
-        }
+        self.create(now, p, params, description.map(|d| d.0.to_string()));
         self.tell_groups();
     }
 
     /// Gives a set-up up, or releases a call that stands.
     pub fn clear(&mut self, now: Micros, call: CallId, attempt: AttemptNo) {
         let Some(&p) = self.legs.get(&call) else { return };
-        let Role::Called { attempt: mine, stage, .. } = &self.ports[p].role else { return };
+        let Role::Called { attempt: mine, .. } = &self.ports[p].role else { return };
         if *mine != attempt {
             return;
         }
-        if let Stage::Creating(transaction) = *stage {
-            // A repeat of CRCX behind its own DLCX would make the connection anew.
-            if let Some(at) = self.commands.stop_repeating(now, transaction) {
-                self.out.push(AgentOutput::Wake(at, AgentDue::Transaction(transaction)));
-            }
-        }
         self.legs.remove(&call);
         self.delete(now, p, Params::default(), Role::Clearing);
         self.tell_groups();
@@ -731,20 +734,30 @@
     // ---- Within ----
 
     /// A new use of a port begins.
-    fn begin(&mut self, p: usize, role: Role) {
+    fn begin(&mut self, now: Micros, p: usize, role: Role) {
+        self.stop_creating(now, p);
         self.next_use = self.next_use.wrapping_add(1);
         let port = &mut self.ports[p];
         (port.use_id, port.connection, port.number, port.role) = (self.next_use, None, None, role);
     }
 
+    /// Guards against a repeat of CRCX behind its own DLCX, which would make the connection anew. A late answer
+    /// is still heard, and what it made is deleted.
+    fn stop_creating(&mut self, now: Micros, p: usize) {
+        let Some(transaction) = self.ports[p].creating.take() else { return };
+        if let Some(at) = self.commands.stop_repeating(now, transaction) {
+            self.out.push(AgentOutput::Wake(at, AgentDue::Transaction(transaction)));
+        }
+    }
+
     /// The one place where a port is given back: it is asked for its hook anew.
     fn idle(&mut self, now: Micros, p: usize) {
-        self.begin(p, Role::Idle);
+        self.begin(now, p, Role::Idle);
         self.request(now, p, Params::default().with("R", "L/hd(N)"));
     }
 
     fn silent(&mut self, now: Micros, p: usize) {
-        self.begin(p, Role::Silent);
+        self.begin(now, p, Role::Silent);
         self.out.push(AgentOutput::Wake(now + AUDIT, AgentDue::Audit(p)));
     }
 
@@ -782,6 +795,7 @@
     }
 
     fn delete(&mut self, now: Micros, p: usize, more: Params, then: Role) {
+        self.stop_creating(now, p);
         // What was silent or not yet in use may hold connections of any call.
         if matches!(self.ports[p].role, Role::Silent) {
             self.ports[p].use_id = 0;
@@ -797,13 +811,13 @@
         self.send(now, p, c, purpose);
     }
 
-    fn create(&mut self, now: Micros, p: usize, params: Params, sdp: Option<String>) -> u32 {
+    fn create(&mut self, now: Micros, p: usize, params: Params, sdp: Option<String>) {
         let mut c = command(Verb::Crcx, self.ports[p].endpoint.clone());
         c.params = self.connection_params(p).with("X", self.new_request(p));
         c.params.0.extend(params.0);
         c.sdp = sdp;
         let purpose = Purpose::Create(p, self.ports[p].use_id);
-        self.send(now, p, c, purpose)
+        self.ports[p].creating = Some(self.send(now, p, c, purpose));
     }
 
     fn request(&mut self, now: Micros, p: usize, params: Params) {
@@ -848,7 +862,7 @@
 
 impl Port {
     fn awaits_connection(&self) -> bool {
-        matches!(self.role, Role::Preparing { .. } | Role::Called { stage: Stage::Creating(_), .. })
+        matches!(self.role, Role::Preparing { .. } | Role::Called { stage: Stage::Creating, .. })
     }
 }
 
