--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -49,8 +49,8 @@
 const STALL: Micros = 250_000;
 /// Housekeeping: held calls, releases, list (µs).
 const TICK: Micros = 50_000;
-/// A held call is ended at the latest this long before its caller gives up (µs). Danger: it is looked at once
-/// in a tick, so that with less than a tick its answer can come after its caller has given up.
+/// A held call is ended at the latest this long before its caller gives up (µs). Danger: it is looked at
+/// once in a tick, so that with less than a tick its answer can come after its caller has given up.
 const ANSWER_EARLY: Micros = 60_000;
 /// An office is silent when its oldest set-up has been out for this share of the mean aim and it has
 /// answered nothing since.
@@ -418,9 +418,9 @@
         self.sent.len() as f64 / span as f64 / self.ready.max(1) as f64
     }
 
-    /// Set-ups that may be out through a fully open gate: as many as are sent within the target delay, at the
-    /// least `GATE_WIDEST`. Danger: a fixed window caps the rate at its width over the set-up delay, and a site
-    /// with many quick set-ups turns calls away that its processors and circuits could take.
+    /// Set-ups that may be out through a fully open gate: as many as are sent within the target delay, at
+    /// the least `GATE_WIDEST`. Danger: a fixed window caps the rate at its width over the set-up delay, and
+    /// a site with many quick set-ups turns calls away that its processors and circuits could take.
     fn widest(&self, now: Micros) -> f64 {
         let own = self.usual_rate(now) * self.ready.max(1) as f64;
         GATE_WIDEST.max(own * TARGET * self.mean_aim)
