Release calls through restarts and through connections that are closing

Seen: a socket test failed once: an exchange's release went out on a caller's connection whose end had been sent but not noticed, and was lost. After a restart, releases of calls that stood before it were passed over: the names mean nothing to the new life. Ruled out: the queue of owed releases, which worked once the end had been noticed.

A release that its caller has not heard (`closed`) goes out again on another connection if its own ends within half a second. For the first 90 s, a release about a name that this life has never met is passed on to the callers, or to the exchanges; names met in this life are kept apart, so that no call gets a second answer.

--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -105,8 +105,8 @@
     pub fn new(config: &Config, now: Micros) -> Self {
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
-            callers: Callers::new(LINES, config.classes.clone()),
-            links: Links::new(config.connect_timeout, config.settings.own),
+            callers: Callers::new(now, LINES, config.classes.clone()),
+            links: Links::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
             roster: Roster::new(config.zones.clone()),
             deadlines: Deadlines::default(),
@@ -347,7 +347,7 @@
                 self.counts.messages_in += 1;
                 match side {
                     Side::Callers => self.caller(now, conn, message),
-                    Side::Exchanges => self.links.message(conn, message),
+                    Side::Exchanges => self.links.message(now, conn, message),
                 }
             }
             (_, ConnNews::Bad(_)) => self.counts.malformed += 1,
@@ -356,9 +356,9 @@
                 self.outboxes.remove(&(side, conn));
                 match side {
                     Side::Callers => {
-                        for call in self.callers.closed(conn) {
-                            self.ledger.caller_left(now, call);
-                        }
+                        let (lost, again) = self.callers.closed(now, conn);
+                        again.into_iter().for_each(|m| self.tell_caller(m));
+                        lost.into_iter().for_each(|call| self.ledger.caller_left(now, call));
                     }
                     Side::Exchanges => self.links.closed(now, conn, how),
                 }
@@ -390,6 +390,7 @@
                 self.callers.taken(conn, sid, key, call);
             }
             Ask::Left(call) => self.ledger.caller_left(now, call),
+            Ask::LeftEarlier(sid) => self.links.release_earlier(sid),
             Ask::Test(sid) => {
                 let ready = self.links.settled() || now - self.born >= SETTLE;
                 let code = u16::from(ready && self.stopping.is_none() && !self.draining);
@@ -529,6 +530,11 @@
             }
             LinkOutput::Group(office, load) => self.ledger.group(now, office, load),
             LinkOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
+            LinkOutput::Earlier(sid, code) => {
+                if let Some(m) = self.callers.release_earlier(now, sid, code) {
+                    self.tell_caller(m);
+                }
+            }
         }
     }
 
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -1,7 +1,7 @@
 //! The platform's front: what callers send on their connections, and what they are answered, without input
 //! or output.
 
-use super::json_lines::{cause, pairs, Kind, Message, Sid};
+use super::json_lines::{cause, pairs, EarlierLife, Kind, Message, Sid};
 use super::ConnId;
 use crate::routing::interface::{CallId, ExchangeNo, Micros, NewCall};
 use crate::routing::ledger::{Answer, FrontId, Offer};
@@ -11,6 +11,9 @@
 /// A release that no connection could carry is kept for this long (µs).
 const OWED_FOR: Micros = 8_000_000;
 
+/// A release whose connection ends this soon after it goes out again, unless it was heard (µs).
+const UNHEARD: Micros = 500_000;
+
 /// What a caller's message asks for.
 #[derive(Debug, PartialEq)]
 pub enum Ask {
@@ -18,6 +21,8 @@
     Offer(Sid, Option<Value>, Box<Offer>),
     /// The caller gave this call up, or released it.
     Left(CallId),
+    /// The caller released a call of this program's earlier life.
+    LeftEarlier(Sid),
     /// Whether this program is ready for calls.
     Test(Option<Sid>),
     /// Answer at once.
@@ -27,7 +32,7 @@
 }
 
 /// A message to a caller.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ToCaller {
     /// On which connection.
     pub conn: ConnId,
@@ -75,12 +80,15 @@
     by_sid: HashMap<Sid, CallId>,
     calls: HashMap<CallId, Held>,
     owed: Vec<(Micros, Message)>,
+    /// Releases that went out of late and were not heard yet.
+    unheard: Vec<(Micros, ToCaller)>,
+    earlier: EarlierLife,
     counts: CallerCounts,
 }
 
 impl Callers {
     /// A front that knows the names of the classes, in their order.
-    pub fn new(front: FrontId, classes: Vec<String>) -> Self {
+    pub fn new(now: Micros, front: FrontId, classes: Vec<String>) -> Self {
         Callers {
             front,
             classes,
@@ -88,6 +96,8 @@
             by_sid: HashMap::new(),
             calls: HashMap::new(),
             owed: Vec::new(),
+            unheard: Vec::new(),
+            earlier: EarlierLife::new(now),
             counts: CallerCounts::default(),
         }
     }
@@ -114,14 +124,20 @@
         owed.into_iter().filter(|o| now < o.0).map(|(_, message)| ToCaller { conn, message }).collect()
     }
 
-    /// A connection is gone: its unanswered set-ups are given up. No call that stands goes with it.
-    pub fn closed(&mut self, conn: ConnId) -> Vec<CallId> {
+    /// A connection is gone: its unanswered set-ups are given up. No call that stands goes with it, and a release
+    /// that may have crossed its end goes out on another.
+    pub fn closed(&mut self, now: Micros, conn: ConnId) -> (Vec<CallId>, Vec<ToCaller>) {
         self.conns.remove(&conn);
+        let (crossed, rest) = std::mem::take(&mut self.unheard).into_iter().partition(|u| u.1.conn == conn);
+        self.unheard = rest;
+        let crossed: Vec<(Micros, ToCaller)> = crossed;
+        let recent = crossed.into_iter().filter(|u| now < u.0);
+        let again = recent.filter_map(|(_, m)| self.tell(now, None, m.message)).collect();
         let on = |h: &Held| h.conn == conn && !h.answered;
         let mut lost: Vec<CallId> = self.calls.iter().filter(|(_, h)| on(h)).map(|(&c, _)| c).collect();
         lost.sort_unstable();
         lost.iter().for_each(|&c| drop(self.remove(c)));
-        lost
+        (lost, again)
     }
 
     /// The connection that has been idle longest with no open set-up on it.
@@ -136,19 +152,26 @@
             c.used = now;
         }
         match (message.kind, message.sid) {
-            (Kind::Open, Some(sid)) => self.open(sid, message),
+            (Kind::Open, Some(sid)) => {
+                self.earlier.meet(now, sid);
+                self.open(sid, message)
+            }
             (Kind::Close, Some(sid)) => match self.by_sid.get(&sid).copied() {
                 Some(call) => {
                     self.remove(call);
                     Ask::Left(call)
                 }
+                None if self.earlier.has(now, sid) => Ask::LeftEarlier(sid),
                 None => {
                     self.counts.stray += 1;
                     Ask::Nothing
                 }
             },
             (Kind::Probe, sid) => Ask::Test(sid),
-            (Kind::Closed, _) => Ask::Nothing,
+            (Kind::Closed, sid) => {
+                self.unheard.retain(|u| u.1.message.sid != sid);
+                Ask::Nothing
+            }
             _ => {
                 self.counts.unexpected += 1;
                 Ask::Nothing
@@ -241,10 +264,26 @@
     pub fn release(&mut self, now: Micros, call: CallId, cut: bool) -> Option<ToCaller> {
         let held = self.remove(call)?;
         let code = if cut { cause::TEMPORARY_FAILURE } else { cause::NORMAL };
-        let message = Message::close(held.sid, code);
-        let own = self.conns.contains_key(&held.conn).then_some(held.conn);
+        self.tell(now, Some(held.conn), Message::close(held.sid, code))
+    }
+
+    /// The release of a call that stood in an earlier life of this program.
+    pub fn release_earlier(&mut self, now: Micros, sid: Sid, code: u16) -> Option<ToCaller> {
+        match self.by_sid.contains_key(&sid) || !self.earlier.has(now, sid) {
+            true => None,
+            false => self.tell(now, None, Message::close(sid, code)),
+        }
+    }
+
+    fn tell(&mut self, now: Micros, conn: Option<ConnId>, message: Message) -> Option<ToCaller> {
+        let own = conn.filter(|c| self.conns.contains_key(c));
         match own.or_else(|| self.conns.keys().next_back().copied()) {
-            Some(conn) => Some(ToCaller { conn, message }),
+            Some(conn) => {
+                let told = ToCaller { conn, message };
+                self.unheard.retain(|u| now < u.0);
+                self.unheard.push((now + UNHEARD, told.clone()));
+                Some(told)
+            }
             None => {
                 self.owed.retain(|o| now < o.0);
                 self.owed.push((now + OWED_FOR, message));
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -3,7 +3,7 @@
 //! One connection is kept to each exchange on the list: its group's state comes on it unasked. A connection
 //! owns the set-ups that wait for an answer on it; a call that stands is owned by none.
 
-use super::json_lines::{cause, Kind, Message, Sid};
+use super::json_lines::{cause, EarlierLife, Kind, Message, Sid};
 use super::membership::Place;
 use super::ConnId;
 use crate::routing::interface::{
@@ -86,6 +86,8 @@
     Group(OfficeId, LoadReport),
     /// A probe failed.
     ProbeFailed(OfficeId),
+    /// A call of this program's earlier life is over.
+    Earlier(Sid, u16),
 }
 
 /// Counts of what was odd.
@@ -159,6 +161,7 @@
     connect_timeout: Micros,
     /// The exchange that this controller runs in: nothing is ever sent there.
     own: Option<ExchangeNo>,
+    earlier: EarlierLife,
     next_conn: u64,
     next_probe: u64,
     out: Vec<LinkOutput>,
@@ -167,7 +170,7 @@
 
 impl Links {
     /// No links yet. A connection that is not up after `connect_timeout` was not made.
-    pub fn new(connect_timeout: Micros, own: Option<ExchangeNo>) -> Self {
+    pub fn new(now: Micros, connect_timeout: Micros, own: Option<ExchangeNo>) -> Self {
         Links {
             links: BTreeMap::new(),
             conns: HashMap::new(),
@@ -176,6 +179,7 @@
             probes: HashMap::new(),
             connect_timeout,
             own,
+            earlier: EarlierLife::new(now),
             next_conn: 0,
             next_probe: 0,
             out: Vec::new(),
@@ -407,6 +411,7 @@
         let line = self.links.get(&office).map(|l| l.line);
         let leg = Leg { call, attempt, office, stage: Stage::Waiting, began: now, message: None };
         self.sids.insert(call, sid);
+        self.earlier.meet(now, sid);
         match line {
             Some(Line::Up(conn)) => {
                 self.legs.insert(sid, Leg { stage: Stage::Sent(conn), ..leg });
@@ -443,6 +448,16 @@
         }
     }
 
+    /// Releases a call of an earlier life: the exchange that has it is not known, and the others know no such call.
+    pub fn release_earlier(&mut self, sid: Sid) {
+        for link in self.links.values() {
+            if let Line::Up(conn) = link.line {
+                let message = Message::close(sid, cause::NORMAL);
+                self.out.push(LinkOutput::Send { conn, message, set_up: None });
+            }
+        }
+    }
+
     /// Asks an exchange for a report.
     pub fn probe(&mut self, now: Micros, office: OfficeId) {
         let Some(Line::Up(conn)) = self.links.get(&office).map(|l| l.line) else {
@@ -457,7 +472,7 @@
     }
 
     /// A message from an exchange.
-    pub fn message(&mut self, conn: ConnId, message: Message) {
+    pub fn message(&mut self, now: Micros, conn: ConnId, message: Message) {
         let Some(&office) = self.conns.get(&conn) else { return };
         let load = message.load();
         if let Some(link) = self.links.get_mut(&office) {
@@ -496,6 +511,10 @@
             },
             (Kind::Close, None) => {
                 self.counts.stray += 1;
+                if let Some(sid) = message.sid.filter(|&s| self.earlier.has(now, s)) {
+                    let code = message.code.unwrap_or(cause::NORMAL);
+                    self.out.push(LinkOutput::Earlier(sid, code));
+                }
                 self.group(office, load);
             }
             (Kind::Open | Kind::Probe, _) => self.counts.stray += 1,
--- a/src/protocol/json_lines.rs
+++ b/src/protocol/json_lines.rs
@@ -4,7 +4,7 @@
 use crate::routing::ledger::Description;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 
 /// The longest message, without its line feed.
@@ -230,6 +230,40 @@
     r
 }
 
+/// Tells names of this program's life from those of the life before it: calls that stood through a restart are
+/// released by messages about names that this life has never met. After a while no such call is left.
+#[derive(Debug)]
+pub struct EarlierLife {
+    until: Micros,
+    met: HashSet<Sid>,
+}
+
+/// Calls of an earlier life are looked out for this long (µs).
+const EARLIER: Micros = 90_000_000;
+/// Names kept meanwhile; with more than that, none counts as earlier.
+const MET: usize = 200_000;
+
+impl EarlierLife {
+    /// A life that begins now.
+    pub fn new(now: Micros) -> Self {
+        EarlierLife { until: now + EARLIER, met: HashSet::new() }
+    }
+
+    /// Notes a name of this life.
+    pub fn meet(&mut self, now: Micros, sid: Sid) {
+        if now >= self.until || self.met.len() >= MET {
+            (self.until, self.met) = (now, HashSet::new());
+        } else {
+            self.met.insert(sid);
+        }
+    }
+
+    /// Whether a name may be one of the earlier life.
+    pub fn has(&self, now: Micros, sid: Sid) -> bool {
+        now < self.until && !self.met.contains(&sid)
+    }
+}
+
 /// Cuts a stream of bytes into lines. Guards against a line without an end: what is longer than a message is
 /// dropped up to its line feed, so that it costs its sender this one line and never more memory than that.
 #[derive(Debug, Default)]
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -130,6 +130,7 @@
                     assert!(matches!(*leg, Leg::Waiting | Leg::Out | Leg::Standing), "one end: {leg:?}");
                     *leg = Leg::Over;
                 }
+                LinkOutput::Earlier(sid, _) => panic!("{sid} is of this life"),
                 LinkOutput::Group(..) | LinkOutput::ProbeFailed(_) => {}
             }
         }
@@ -168,7 +169,7 @@
             LinkStep::Ready(i) => {
                 if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
                     let before = self.legs[i];
-                    self.links.message(conn, Message::new(Kind::Ready, Some(Sid(i as u64))));
+                    self.links.message(self.now, conn, Message::new(Kind::Ready, Some(Sid(i as u64))));
                     let released = self.links.counts().late_answers;
                     self.settle();
                     assert!(before != Leg::Out || self.legs[i] == Leg::Standing);
@@ -177,7 +178,7 @@
             }
             LinkStep::Close(i, code) => {
                 if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
-                    self.links.message(conn, Message::close(Sid(i as u64), code));
+                    self.links.message(self.now, conn, Message::close(Sid(i as u64), code));
                 }
             }
             LinkStep::List(state) => self.list(state),
@@ -222,7 +223,7 @@
         2 => (0..700 * MS).prop_map(Pass),
     ];
     check(prop::collection::vec(step, 1..80), |steps| {
-        let links = Links::new(500 * MS, Some(ExchangeNo(0)));
+        let links = Links::new(0, 500 * MS, Some(ExchangeNo(0)));
         let mut m = LinkModel {
             links,
             now: 1_000 * MS,
@@ -267,7 +268,7 @@
         3 => (0_usize..50).prop_map(Release),
     ];
     check(prop::collection::vec(step, 1..120), |steps| {
-        let mut callers = Callers::new(FrontId(0), vec!["a".to_owned()]);
+        let mut callers = Callers::new(-100_000 * MS, FrontId(0), vec!["a".to_owned()]);
         let (mut alive, mut next_conn, mut next_call) = (Vec::<ConnId>::new(), 0, 0);
         // Each call held: its name, its connection, whether it stands.
         let mut calls: BTreeMap<CallId, (Sid, ConnId, bool)> = BTreeMap::new();
@@ -285,7 +286,7 @@
                     let conn = alive.remove(i % alive.len());
                     let want: Vec<CallId> =
                         calls.iter().filter(|(_, c)| c.1 == conn && !c.2).map(|(&id, _)| id).collect();
-                    assert_eq!(callers.closed(conn), want);
+                    assert_eq!(callers.closed(0, conn), (want, Vec::new()));
                     calls.retain(|_, c| c.1 != conn || c.2);
                 }
                 Open(i, s) if !alive.is_empty() => {
@@ -330,6 +331,8 @@
                         Some(m) => {
                             assert!(alive.contains(&m.conn) && m.message.sid == Some(sid));
                             assert!(m.conn == conn || !alive.contains(&conn), "its own if that is there");
+                            // Heard, so that it need not go out again.
+                            callers.message(0, m.conn, Message::new(Kind::Closed, Some(sid)));
                         }
                         None => {
                             assert!(alive.is_empty());
@@ -347,6 +350,29 @@
     Answer::Stands(None)
 }
 
+#[test]
+fn a_release_that_crosses_the_end_of_its_connection_goes_out_on_another_unless_it_was_heard() {
+    for heard in [false, true] {
+        let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()]);
+        let conns = [ConnId(0), ConnId(1)];
+        conns.iter().for_each(|&c| drop(callers.opened(0, c)));
+        let open = Message::new(Kind::Open, Some(Sid(5))).with("class", "a").with("left", 900);
+        let Ask::Offer(sid, key, _) = callers.message(0, conns[0], open.with("extras", "dest:2")) else {
+            panic!("no offer")
+        };
+        callers.taken(conns[0], sid, key, CallId(0));
+        callers.answer(CallId(0), stands_answer());
+        let told = callers.release(0, CallId(0), false).unwrap();
+        assert_eq!(told.conn, conns[0]);
+        if heard {
+            callers.message(0, conns[0], Message::new(Kind::Closed, Some(sid)));
+        }
+        let again = callers.closed(100 * MS, conns[0]).1;
+        let want = ToCaller { conn: conns[1], message: told.message };
+        assert_eq!(again, if heard { vec![] } else { vec![want] });
+    }
+}
+
 // ---- The ledger's rules ----
 
 #[derive(Clone, Debug)]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -345,3 +345,23 @@
         assert!(p.said("configuration: ").starts_with(key), "{key}");
     }
 }
+
+#[test]
+fn a_call_that_stood_through_a_restart_is_released_on_both_sides_by_name() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    // Neither name was ever met in this life.
+    x[0].say(close(&sid(70), 16));
+    assert_eq!(c.about(&sid(70))["code"], 16);
+    c.say(close(&sid(71), 16));
+    assert_eq!(x[0].about(&sid(71))["msg"], "close");
+    // A call of this life that was refused is not released as well when its exchange says more.
+    c.say(open(&sid(72), 1, 9000));
+    x[0].about(&sid(72));
+    let refusal = json!({"msg": "close", "sid": sid(72), "attrs": {"note": "end_queue_long"}, "code": 34});
+    x[0].say(refusal.clone());
+    assert_eq!(c.about(&sid(72))["code"], 34);
+    x[0].say(refusal);
+    c.quiet(Duration::from_millis(200));
+}
