Test transactions and configuration faults without sockets

Seen: back-off, the bound and age of kept answers, and faults in deploy files had no tests of their own. Ruled out: nothing was at fault; all pass as the code stood. Conclusion: the limits that the MGCP front promises are pinned.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -420,3 +420,55 @@
     let text = v.as_str().ok_or_else(|| bad(key, "not an address"))?;
     text.parse().map_err(|_| bad(key, format!("{text:?} is no address with a port")))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn base() -> Config {
+        parse(&serde_json::json!({
+            "listen": "127.0.0.1:0",
+            "settings": {"classes": [{"name": "a", "giveUp": 9000}], "extra": {"ownExchange": 3}}
+        }))
+        .unwrap()
+    }
+
+    const GATEWAY: &str = "enabled = true\nlisten = \"127.0.0.1:2727\"\nclass = \"a\"\n[[gateway]]\n\
+        name = \"Cab\"\naddress = \"127.0.0.1:2427\"\nexchange = 9\nendpoints = [\"Lamp/1\"]\n";
+
+    #[test]
+    fn a_fault_in_a_deploy_file_is_named_by_its_key() {
+        assert_eq!(mgcp(GATEWAY, &base()).unwrap().unwrap().agent.gateways[0].endpoints, ["lamp/1"]);
+        assert!(mgcp(&GATEWAY.replace("enabled = true", ""), &base()).unwrap().is_none());
+        for (from, to, key) in [
+            ("127.0.0.1:2727", "10.0.0.1:2727", "mgcp.listen"),
+            ("class = \"a\"", "class = \"b\"", "mgcp.class"),
+            ("127.0.0.1:2427", "cab:2427", "mgcp.gateway.0.address"),
+            ("exchange = 9", "exchange = 3", "mgcp.gateway.0.exchange"),
+            ("\"Lamp/1\"", "\"Lamp/1\", \"lamp/1\"", "mgcp.gateway.0.endpoints"),
+            ("exchange = 9", "exchange = 9\nodd = 1", "mgcp.toml"),
+        ] {
+            let error = mgcp(&GATEWAY.replace(from, to), &base()).unwrap_err().to_string();
+            assert!(error.starts_with(key), "{error}");
+        }
+        for (text, key) in [
+            ("enabled = true", "telemetry.endpoint: missing"),
+            ("enabled = true\nendpoint = \"http://10.0.0.1:4318\"", "telemetry.endpoint"),
+            (
+                "enabled = true\nendpoint = \"http://127.0.0.1:4318\"\ninterval_ms = 1",
+                "telemetry.interval_ms",
+            ),
+        ] {
+            assert!(telemetry(text).unwrap_err().to_string().starts_with(key), "{text}");
+        }
+    }
+
+    #[test]
+    fn arguments_are_read_and_unknown_ones_named() {
+        let read = |line: &str| arguments(line.split_whitespace().map(str::to_owned));
+        let got = read("--console --mgcp m.toml --check").unwrap();
+        assert!(got.console && got.check && got.mgcp == Some("m.toml".into()));
+        assert!(read("--consol").unwrap_err().to_string().contains("--consol"));
+        assert!(read("--config").unwrap_err().to_string().contains("--config FILE"));
+    }
+}
--- a/src/protocol/mgcp/transactions.rs
+++ b/src/protocol/mgcp/transactions.rs
@@ -235,3 +235,75 @@
 pub fn command(verb: Verb, endpoint: super::message::Endpoint) -> Command {
     Command { verb, transaction: 0, endpoint, params: Params::default(), sdp: None }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::message::Endpoint;
+    use super::*;
+
+    fn place(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    fn audit() -> Command {
+        command(Verb::Auep, Endpoint { local: "lamp/1".to_owned(), domain: "cab".to_owned() })
+    }
+
+    #[test]
+    fn a_command_is_repeated_at_doubling_waits_and_then_given_up() {
+        let mut commands = Commands::new(7);
+        let (id, text, mut due) = commands.send(0, place(1), audit(), 'a');
+        let mut waits = vec![due];
+        loop {
+            assert_eq!(commands.due(due - 1, id), Repeat::Nothing, "not before its time");
+            match commands.due(due, id) {
+                Repeat::Again(_, again, at) => {
+                    assert_eq!(again, text);
+                    waits.push(at - due);
+                    due = at;
+                }
+                end => {
+                    assert_eq!(end, Repeat::GaveUp('a'));
+                    break;
+                }
+            }
+        }
+        assert_eq!(waits, (0..SENDS).map(|n| FIRST_WAIT << n).collect::<Vec<_>>());
+        assert_eq!(commands.waiting(), 0);
+    }
+
+    #[test]
+    fn a_provisional_answer_stops_the_repeats_and_the_final_one_is_acknowledged_with_the_next_command() {
+        let mut commands = Commands::new(7);
+        let (id, _, due) = commands.send(0, place(1), audit(), 'a');
+        let later = commands.response(0, place(1), &Response::new(100, id)).wake;
+        assert_eq!(later, Some(LONG_WAIT));
+        assert_eq!(commands.due(due, id), Repeat::Nothing);
+        // From elsewhere it is nobody's answer.
+        let other = SocketAddr::from(([127, 0, 0, 2], 1));
+        assert_eq!(commands.response(0, other, &Response::new(200, id)).key, None);
+        assert_eq!(commands.response(0, place(1), &Response::new(200, id)).key, Some('a'));
+        assert_eq!(commands.response(0, place(1), &Response::new(200, id)).key, None, "once");
+        let (_, text, _) = commands.send(0, place(1), audit(), 'b');
+        assert!(text.contains(&format!("\r\nK: {id}\r\n")), "{text}");
+    }
+
+    #[test]
+    fn answers_are_kept_for_their_time_and_never_more_than_the_bound() {
+        let mut history = History::default();
+        for id in 0..HISTORY_CAP as u32 {
+            history.keep(0, place(1), id, format!("200 {id}"));
+        }
+        history.acknowledge(place(1), "7-8, 4000000000, x, 20-10");
+        // The first to go are those acknowledged, then the oldest.
+        for (n, gone) in [(0, 7), (1, 8), (2, 0)] {
+            assert!(history.answered(1, place(1), gone).is_some());
+            history.keep(1, place(2), n, "200".to_owned());
+            assert_eq!(history.answered(1, place(1), gone), None);
+        }
+        assert_eq!(history.len(), HISTORY_CAP);
+        assert_eq!(history.answered(HISTORY - 1, place(1), 9).as_deref(), Some("200 9"));
+        assert_eq!(history.answered(HISTORY, place(1), 9), None);
+        assert_eq!(history.len(), 3);
+    }
+}
