Read the configuration anew on SIGHUP and follow the new coordinator

Checked: 129 is 128 + 1, the system's own answer to a signal that nobody catches; src/transport/signals.rs caught TERM, INT and USR1 only. Ruled out: a panic (nothing in the log) and the configuration, which was never opened again.

The file is read, checked and defaulted by config::load, as at the start; a faulty one is logged by its key. The task that follows the stream takes a new address at once and goes on from the last event; an event whose number it has had is passed over. Keys that only a start can follow are logged.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -131,7 +131,7 @@
 }
 
 /// The front towards gateways.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct MgcpConfig {
     /// Where it listens.
     pub listen: SocketAddr,
@@ -293,6 +293,30 @@
 }
 
 impl Config {
+    /// The keys in which `new` differs and which only a start can follow: sockets that are bound, and what the
+    /// calls at hand rest on.
+    pub fn needs_restart(&self, new: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("limits", self.sockets == new.sockets),
+            ("peer_listen", self.peer_listen == new.peer_listen),
+            ("settings", self.settings == new.settings && self.classes == new.classes),
+            ("settings.failureDomains", self.zones == new.zones),
+            ("settings.limits.connectTimeout", self.connect_timeout == new.connect_timeout),
+            ("mgcp", self.mgcp == new.mgcp),
+            ("telemetry", self.telemetry == new.telemetry),
+        ];
+        same.into_iter().filter(|s| !s.1).map(|s| s.0).collect()
+    }
+
+    /// Takes over from `new` what a running program can follow.
+    pub fn follow(&mut self, new: Config) {
+        self.coordinator = new.coordinator;
+        self.peers = new.peers;
+        self.peers_all = new.peers_all;
+    }
+
     /// What the program was told, in lines.
     pub fn summary(&self) -> String {
         let place = |a: &Option<SocketAddr>| a.map_or("none".to_owned(), |a| a.to_string());
--- a/src/program/console.rs
+++ b/src/program/console.rs
@@ -51,7 +51,7 @@
                 let _ = writeln!(out, "{name:28} {value}");
             }
         }
-        (Some("config"), None) => out = board.told().to_owned(),
+        (Some("config"), None) => out = board.told(),
         (Some("drain"), word @ (None | Some("off"))) => {
             board.drain(word.is_none());
             out = format!("tests {}\n", if word.is_none() { "fail from now on" } else { "pass again" });
--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -26,6 +26,10 @@
     pub bad_list_events: u64,
     /// Times that the coordinator's stream was lost.
     pub stream_losses: u64,
+    /// Configurations read anew and followed.
+    pub reloads: u64,
+    /// Configurations read anew and found faulty.
+    pub bad_reloads: u64,
     /// Peers' messages in.
     pub peers_in: u64,
     /// Peers' messages out.
@@ -68,6 +72,8 @@
         ("list.events", w.list_events),
         ("list.bad_events", w.bad_list_events),
         ("list.stream_losses", w.stream_losses),
+        ("config.reloads", w.reloads),
+        ("config.bad_reloads", w.bad_reloads),
         ("peers.in", w.peers_in),
         ("peers.out", w.peers_out),
         ("gateways.in", w.gateways_in),
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -1,13 +1,14 @@
 //! Wiring: opens the sockets, starts their tasks, and runs the task that owns routing to its end.
 
 use super::clock::Clock;
-use super::config::{self, Config, ConfigError};
+use super::config::{self, Arguments, Config, ConfigError};
 use super::switchboard::{Switchboard, Task};
 use super::{console, counters, telemetry};
 use crate::protocol::mgcp::message;
 use crate::protocol::otlp::{Encoder, Snapshot};
 use crate::routing::interface::Micros;
-use crate::transport::{coordinator, datagrams, signals, streams, Inbound};
+use crate::transport::coordinator::{self, Wish};
+use crate::transport::{datagrams, signals, streams, Inbound};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -62,17 +63,25 @@
         println!("{HELP}");
         return Ok(());
     }
-    let config = config::load(&arguments, |name| std::env::var(name).ok())?;
+    let config = config::load(&arguments, environment)?;
     if arguments.check {
         println!("the configuration of {} is good", config.name);
         return Ok(());
     }
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, arguments.console, executor.clone())))
+    async_io::block_on(executor.run(serve(config, arguments, executor.clone())))
 }
 
-async fn serve(config: Config, commands: bool, executor: Rc<LocalExecutor<'static>>) -> Result<(), RunError> {
-    let clock = Clock::start();
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+async fn serve(
+    config: Config,
+    arguments: Arguments,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), RunError> {
+    let (clock, commands) = (Clock::start(), arguments.console);
     let listen = |key, address| move |why| RunError::Listen { key, address, why };
     let listener = Async::<TcpListener>::bind(config.listen).map_err(listen("listen", config.listen))?;
     let (inbox, news) = bounded(INBOX);
@@ -97,20 +106,13 @@
         let longest = message::LONGEST;
         executor.spawn(datagrams::serve(socket, longest, gateway_queue, inbox.clone(), made)).detach();
     }
-    let stop = inbox.clone();
-    executor
-        .spawn(async move {
-            if let Err(e) = signals::watch(stop).await {
-                eprintln!("walnuthatch: signals: {e}");
-            }
-        })
-        .detach();
-    let (refetch, refetch_queue) = bounded(1);
-    if let Some(address) = config.coordinator {
-        executor
-            .spawn(coordinator::follow(address, config.known_index, refetch_queue, inbox.clone()))
-            .detach();
+    match signals::catch() {
+        Ok(caught) => executor.spawn(signals::watch(caught, inbox.clone())).detach(),
+        Err(e) => eprintln!("walnuthatch: signals: {e}"),
     }
+    let (coordinator, wishes) = bounded(1);
+    let feed = coordinator::follow(config.coordinator, config.known_index, wishes, inbox.clone());
+    executor.spawn(feed).detach();
     let ears = streams::listen(listener, executor.clone(), inbox.clone());
     executor.spawn(async move { drop(ears.await) }).detach();
     if commands {
@@ -131,7 +133,8 @@
         executor.spawn(telemetry::export(t.collector, encoder, snapshot_queue, board.exported())).detach();
     }
     let answers = commands.then(console::print);
-    let out = Outlets { inbox, peers, gateways, snapshots, refetch, answers, log: console::log() };
+    let log = console::log();
+    let out = Outlets { inbox, peers, gateways, snapshots, coordinator, answers, log, arguments };
     let board = route(board, clock, news, out, &executor).await;
     eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
     Ok(())
@@ -143,9 +146,11 @@
     peers: Sender<datagrams::Outgoing>,
     gateways: Sender<datagrams::Outgoing>,
     snapshots: Sender<Snapshot>,
-    refetch: Sender<()>,
+    coordinator: Sender<Wish>,
     answers: Option<Sender<String>>,
     log: Sender<String>,
+    /// Where the configuration came from, and comes from again.
+    arguments: Arguments,
 }
 
 impl Outlets {
@@ -160,8 +165,10 @@
             Task::Export(snapshot) => drop(self.snapshots.try_send(snapshot)),
             Task::Print(text) => drop(self.answers.as_ref().map(|a| a.try_send(text))),
             Task::Log(line) => drop(self.log.try_send(format!("walnuthatch: {line}\n"))),
-            // One that waits already will do.
-            Task::Refetch => drop(self.refetch.try_send(())),
+            // A wish that waits already will do: one for another address brings what is new there.
+            Task::Refetch => drop(self.coordinator.try_send(Wish::WholeList)),
+            // Guards against following an address that is no more: the newest one takes the place of any wish.
+            Task::Follow(address) => drop(self.coordinator.force_send(Wish::Follow(address))),
         }
     }
 }
@@ -181,7 +188,10 @@
         let first = wait(&clock, board.next_deadline(), &news).await;
         let more = std::iter::from_fn(|| news.try_recv().ok()).take(TURN);
         for item in first.into_iter().chain(more) {
-            board.take(clock.now(), item);
+            match item {
+                Inbound::Reload => board.reload(config::load(&out.arguments, environment)),
+                item => board.take(clock.now(), item),
+            }
         }
         board.sweep(clock.now());
         if board.finished(clock.now()) {
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -1,7 +1,7 @@
 //! The one task's state: it owns the ledger with the decision module in it, the fronts, the links and every
 //! deadline. News comes in, [`Switchboard::turn`] settles it, and lines go to the connections' outboxes.
 
-use super::config::{Config, TelemetryConfig};
+use super::config::{Config, ConfigError};
 use super::console;
 use super::counters::{self, WireCounts};
 use super::telemetry::ExportCounts;
@@ -71,6 +71,8 @@
     Log(String),
     /// Ask the coordinator anew.
     Refetch,
+    /// Follow the coordinator at this address from now on.
+    Follow(Option<SocketAddr>),
 }
 
 /// The state of the task that owns routing.
@@ -85,16 +87,13 @@
     outboxes: HashMap<(Side, ConnId), Outbox>,
     tasks: Vec<Task>,
     counts: WireCounts,
-    classes: Vec<String>,
-    peers: Vec<SocketAddr>,
-    peers_all: Option<SocketAddr>,
+    /// As read at the start, and anew since.
+    config: Config,
     most_callers: usize,
     born: Micros,
     stopping: Option<Micros>,
     /// The operator wants no new calls.
     draining: bool,
-    told: String,
-    telemetry: Option<TelemetryConfig>,
     spans: Vec<CallSpan>,
     exported: Rc<ExportCounts>,
     minted: u64,
@@ -113,20 +112,16 @@
             outboxes: HashMap::new(),
             tasks: Vec::new(),
             counts: WireCounts::default(),
-            classes: config.classes.clone(),
-            peers: config.peers.clone(),
-            peers_all: config.peers_all,
+            config: config.clone(),
             most_callers: config.sockets / CALLERS_SHARE,
             born: now,
             stopping: None,
             draining: false,
-            told: config.summary(),
-            telemetry: config.telemetry.clone(),
             spans: Vec::new(),
             exported: Rc::default(),
             minted: config.seed,
         };
-        if let Some(t) = &board.telemetry {
+        if let Some(t) = &board.config.telemetry {
             board.deadlines.add(now + t.interval, Due::Export);
         }
         let gateways = board.gateway_entries();
@@ -154,7 +149,7 @@
                 self.tasks.push(Task::Log(format!("coordinator: {why}")));
             }
             Inbound::Peer { from, body } => {
-                if let Some(at) = self.peers.iter().position(|p| *p == from) {
+                if let Some(at) = self.config.peers.iter().position(|p| *p == from) {
                     self.counts.peers_in += 1;
                     self.ledger.peer(now, PeerNo(at as u32), body);
                 }
@@ -174,10 +169,33 @@
                 self.tasks.push(Task::Log(line));
             }
             Inbound::Stop => self.stop(now),
+            // Whoever runs the switchboard reads the files: see `Switchboard::reload`.
+            Inbound::Reload => {}
         }
         self.settle(now);
     }
 
+    /// Goes over to a configuration that was read anew, as far as a running program can; calls are untouched. A
+    /// faulty one is logged by its key, and the running one kept.
+    pub fn reload(&mut self, read: Result<Config, ConfigError>) {
+        let new = match read {
+            Ok(new) => new,
+            Err(e) => {
+                self.counts.bad_reloads += 1;
+                return self.tasks.push(Task::Log(format!("configuration kept: {e}")));
+            }
+        };
+        self.counts.reloads += 1;
+        for key in self.config.needs_restart(&new) {
+            self.tasks.push(Task::Log(format!("configuration: {key}: takes effect at the next start")));
+        }
+        if self.config.coordinator != new.coordinator {
+            self.tasks.push(Task::Follow(new.coordinator));
+        }
+        self.config.follow(new);
+        self.tasks.push(Task::Log("configuration read anew".to_owned()));
+    }
+
     /// Sweeps the deadlines.
     pub fn sweep(&mut self, now: Micros) {
         while let Some(due) = self.deadlines.take_due(now) {
@@ -227,7 +245,7 @@
     pub fn counters(&self) -> Vec<(String, u64)> {
         let (callers, links) = (self.callers.counts(), self.links.counts());
         let mut table = counters::table(&self.counts, self.ledger.tally(), &callers, &links);
-        if self.telemetry.is_some() {
+        if self.config.telemetry.is_some() {
             table.extend(self.exported.table());
         }
         if let Some(agent) = &self.agent {
@@ -244,7 +262,7 @@
     }
 
     fn span(&mut self, call: CallId, answer: &Answer, (from, to): (Micros, Micros), destination: ExchangeNo) {
-        if !self.telemetry.as_ref().is_some_and(|t| t.spans) {
+        if !self.config.telemetry.as_ref().is_some_and(|t| t.spans) {
             return;
         }
         if self.spans.len() >= SPANS {
@@ -260,7 +278,7 @@
     }
 
     fn export(&mut self, now: Micros) {
-        let Some(interval) = self.telemetry.as_ref().map(|t| t.interval) else { return };
+        let Some(interval) = self.config.telemetry.as_ref().map(|t| t.interval) else { return };
         self.deadlines.add(now + interval, Due::Export);
         let gauges = self.gauges().map(|(name, v)| (name.to_owned(), v)).to_vec();
         let calls = std::mem::take(&mut self.spans);
@@ -318,8 +336,8 @@
     }
 
     /// What the program was told.
-    pub fn told(&self) -> &str {
-        &self.told
+    pub fn told(&self) -> String {
+        self.config.summary()
     }
 
     /// Fails the platform's tests from now on, or no longer.
@@ -569,7 +587,7 @@
 
     fn set_up_message(&mut self, call: CallId, wait: Micros) -> Option<Message> {
         let offer = self.ledger.offer_of(call)?;
-        let class = self.classes.get(offer.ask.class)?.clone();
+        let class = self.config.classes.get(offer.ask.class)?.clone();
         let (sid, key) = match self.callers.particulars(call) {
             Some(known) => known,
             None => {
@@ -604,8 +622,8 @@
 
     fn tell_peers(&mut self, to: Option<PeerNo>, body: Vec<u8>) {
         let address = match to {
-            Some(peer) => self.peers.get(peer.0 as usize).copied(),
-            None => self.peers_all,
+            Some(peer) => self.config.peers.get(peer.0 as usize).copied(),
+            None => self.config.peers_all,
         };
         if let Some(address) = address.filter(|_| body.len() <= 256) {
             self.counts.peers_out += 1;
--- a/src/transport/coordinator.rs
+++ b/src/transport/coordinator.rs
@@ -32,21 +32,38 @@
     Silent,
     #[error("it ended")]
     Ended,
-    #[error("the whole list is asked for")]
-    Asked,
+    #[error("something else is wished for")]
+    Wish(Wish),
     #[error("the program ends")]
     Over,
 }
 
-/// Follows the stream for as long as the program runs, each time from the event after the last one that came, or
-/// from the first one when the whole list is asked for by `refetch`.
-pub async fn follow(address: SocketAddr, mut last: u64, refetch: Receiver<()>, inbox: Sender<Inbound>) {
+/// What may be wished of the task that follows the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// The whole list, from the first event on.
+    WholeList,
+    /// The stream at this address; `None`: no stream.
+    Follow(Option<SocketAddr>),
+}
+
+/// Follows the stream for as long as the program runs, each time from the event after the last one that came,
+/// also at another address: the numbering is one. The whole list is asked for from the first event on.
+pub async fn follow(
+    mut address: Option<SocketAddr>,
+    mut last: u64,
+    wishes: Receiver<Wish>,
+    inbox: Sender<Inbound>,
+) {
     loop {
         let began = Instant::now();
-        match once(address, &mut last, &refetch, &inbox).await {
+        match once(address, &mut last, &wishes, &inbox).await {
             Lost::Over => return,
-            // The whole list is wanted: everything is asked for from the beginning.
-            Lost::Asked => last = 0,
+            Lost::Wish(Wish::WholeList) => last = 0,
+            Lost::Wish(Wish::Follow(other)) => {
+                address = other;
+                continue;
+            }
             e => {
                 if inbox.send(Inbound::Stream(Err(e.to_string()))).await.is_err() {
                     return;
@@ -70,15 +87,26 @@
     future::or(async { work.await.map_err(Lost::from) }, late).await
 }
 
-async fn once(address: SocketAddr, last: &mut u64, refetch: &Receiver<()>, inbox: &Sender<Inbound>) -> Lost {
-    let asked = async {
-        match refetch.recv().await {
-            Ok(()) => Lost::Asked,
+async fn once(
+    address: Option<SocketAddr>,
+    last: &mut u64,
+    wishes: &Receiver<Wish>,
+    inbox: &Sender<Inbound>,
+) -> Lost {
+    let wished = async {
+        match wishes.recv().await {
+            Ok(wish) => Lost::Wish(wish),
             // Nobody can ask any more.
             Err(_) => future::pending().await,
         }
     };
-    future::or(asked, async { read(address, last, inbox).await.err().unwrap_or(Lost::Ended) }).await
+    let stream = async {
+        match address {
+            Some(address) => read(address, last, inbox).await.err().unwrap_or(Lost::Ended),
+            None => future::pending().await,
+        }
+    };
+    future::or(wished, stream).await
 }
 
 async fn read(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
@@ -122,6 +150,10 @@
         };
         for event in events {
             let id = event.id;
+            // Guards against an event that is told twice: by then it may no longer be so.
+            if id.is_some_and(|id| id <= *last) {
+                continue;
+            }
             inbox.send(Inbound::List(event)).await.map_err(|_| Lost::Over)?;
             *last = id.unwrap_or(*last);
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -68,6 +68,8 @@
     Command(String),
     /// The counters are asked for.
     Report,
+    /// The configuration is to be read anew.
+    Reload,
     /// The program is asked to stop.
     Stop,
 }
--- a/src/transport/signals.rs
+++ b/src/transport/signals.rs
@@ -1,4 +1,5 @@
-//! SIGTERM and SIGINT, which ask for a stop, and SIGUSR1, which asks for the counters.
+//! SIGTERM and SIGINT, which ask for a stop, SIGHUP, which asks for the configuration to be read anew, and
+//! SIGUSR1, which asks for the counters.
 
 use super::Inbound;
 use async_channel::Sender;
@@ -6,14 +7,22 @@
 use futures_lite::StreamExt;
 use std::io;
 
+/// The signals, caught from here on. Guards against one that comes while the program is still starting: until
+/// this has returned, the system's own answer to SIGHUP is the program's end.
+pub fn catch() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
+}
+
 /// Passes on what each signal asks for.
-pub async fn watch(inbox: Sender<Inbound>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])?;
+pub async fn watch(mut signals: Signals, inbox: Sender<Inbound>) {
     while let Some(signal) = signals.next().await {
-        let news = if matches!(signal, Ok(Signal::Usr1)) { Inbound::Report } else { Inbound::Stop };
+        let news = match signal {
+            Ok(Signal::Usr1) => Inbound::Report,
+            Ok(Signal::Hup) => Inbound::Reload,
+            _ => Inbound::Stop,
+        };
         if inbox.send(news).await.is_err() {
             break;
         }
     }
-    Ok(())
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -308,6 +308,47 @@
     x[0].quiet(Duration::from_millis(300));
 }
 
+#[test]
+fn sighup_moves_to_the_new_coordinator_and_keeps_the_running_configuration_if_the_file_is_faulty() {
+    let (l, l2, l3, old, new) = (listener(), listener(), listener(), listener(), listener());
+    let at = |feed: &TcpListener| feed.local_addr().unwrap().to_string();
+    let member = |phase| member("s-1", l.local_addr().unwrap(), 1, phase);
+    let told = |feed: &str| {
+        let known = json!({"index": 3, "updates": [update(3, true, &[member("up")])]});
+        config(json!({"coordinator": feed, "known": known})).to_string()
+    };
+    let path = file("config.json", &told(&at(&old)));
+    let p = Program::start(&[("--config", &path)], &[]);
+    let (callers, mut x) = (p.at("callers"), accept(&l));
+    let mut first = Coordinator::accept(&old);
+    assert_eq!(first.last, "3");
+    first.event(&update(4, false, &[member("up")]));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(80), 1, 9000));
+    x.about(&sid(80));
+    // A faulty file is named by its key, and nothing changes.
+    std::fs::write(&path, told("nowhere")).unwrap();
+    p.signal("HUP");
+    assert!(p.said("configuration kept: ").starts_with("coordinator"));
+    first.event(&update(5, false, &[self::member("s-2", l2.local_addr().unwrap(), 2, "up")]));
+    accept(&l2);
+    std::fs::write(&path, told(&at(&new))).unwrap();
+    p.signal("HUP");
+    p.said("configuration read anew");
+    // The numbering goes on at the new address; what is told twice is taken once.
+    let mut second = Coordinator::accept(&new);
+    assert_eq!(second.last, "5");
+    second.event(&update(5, false, &[member("draining")]));
+    second.event(&update(6, false, &[self::member("s-3", l3.local_addr().unwrap(), 3, "up")]));
+    accept(&l3);
+    std::thread::sleep(Duration::from_millis(300));
+    c.say(open(&sid(81), 1, 9000));
+    assert_eq!(x.about(&sid(81))["msg"], "open", "the second copy of an event is passed over");
+    // The call that was open is untouched.
+    x.say(json!({"msg": "ready", "sid": sid(80), "attrs": {}, "text": TEXT}));
+    assert_eq!(c.about(&sid(80))["msg"], "ready");
+}
+
 #[test]
 fn after_sigterm_it_goes_on_accepting_for_a_while_and_answers_all_that_it_took() {
     let l = listener();
