Give up an exchange's connection once what comes on it can not be read

Ruled out: the module (it saw silence and shut the gate, as it ought to) and the callers' connections. At fault: ConnNews::Bad in the switchboard was only counted, and streams.rs dropped 32 bad lines before it acted; a message that stopped half way was waited for without end.

A bad line, or a message half there for 300 ms, ends the connection: what was out on it is reset, released on the next connection within 400 ms (an answer that was lost may have taken circuits) and goes again after the quiet period. A connection that ended before it told anything is tried again after a pause, not at once.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -66,6 +66,7 @@
         ("exchanges.connects", l.connects),
         ("exchanges.refused", l.refused),
         ("exchanges.broken", l.broken),
+        ("exchanges.spoilt", l.spoilt),
         ("exchanges.late_answers", l.late_answers),
         ("exchanges.stray", l.stray),
         ("exchanges.found_cut", l.found_cut),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -368,7 +368,15 @@
                     Side::Exchanges => self.links.message(now, conn, message),
                 }
             }
-            (_, ConnNews::Bad(_)) => self.counts.malformed += 1,
+            (side, ConnNews::Bad(_)) => {
+                self.counts.malformed += 1;
+                match side {
+                    Side::Callers => {}
+                    Side::Exchanges => self.links.spoilt(now, conn),
+                }
+            }
+            (Side::Exchanges, ConnNews::Half(half)) => self.links.half(now, conn, half),
+            (Side::Callers, ConnNews::Half(_)) => {}
             (side, ConnNews::Closed(how)) => {
                 // The one place where an outbox is given back.
                 self.outboxes.remove(&(side, conn));
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -12,8 +12,15 @@
 use crate::routing::ledger::Description;
 use std::collections::{BTreeMap, HashMap};
 
-/// First and longest wait before a lost connection is tried again (µs).
-const RETRY: (Micros, Micros) = (100_000, 1_000_000);
+/// First and longest wait before a connection that did not come up, or told nothing, is tried again (µs).
+const RETRY: (Micros, Micros) = (20_000, 1_000_000);
+/// A message that has begun on a connection is whole by then, or the connection is of no further use (µs): on the
+/// way of a message of 16 KiB nothing takes that long.
+const HALF: Micros = 300_000;
+/// For so long after a connection is lost, the set-ups that were out on it are released on the next one (µs). An
+/// answer may have been on its way, and what it took is taken still. Well under the quiet period, after which the
+/// same name may be set up again.
+const RELEASE_RESET: Micros = 400_000;
 /// A removed exchange has this long to end its calls in words (µs).
 const GONE_GRACE: Micros = 1_000_000;
 /// A release that no connection could carry is kept for this long (µs).
@@ -49,6 +56,8 @@
     Gone(OfficeId),
     /// A probe has had its time.
     Probe(Sid),
+    /// What began on this connection at that time ought to be whole.
+    Half(ConnId, Micros),
 }
 
 /// What is to be done, or was learnt.
@@ -99,6 +108,8 @@
     pub refused: u64,
     /// Connections that broke.
     pub broken: u64,
+    /// Connections given up since what came on them could not be read, or stopped within a message.
+    pub spoilt: u64,
     /// Answers to set-ups that had been given up; each was released.
     pub late_answers: u64,
     /// Messages about calls that are not known here.
@@ -146,6 +157,10 @@
     doubt: bool,
     /// It was connected and spoke, or could not be connected, at least once.
     settled: bool,
+    /// Something was heard on the present connection, or on the last one.
+    heard: bool,
+    /// Since when a message has been half there.
+    half: Option<Micros>,
     /// Releases that no connection could carry, and until when they are kept.
     owed: Vec<(Micros, Sid)>,
 }
@@ -241,6 +256,8 @@
             retry_due: None,
             doubt: false,
             settled: false,
+            heard: false,
+            half: None,
             owed: Vec::new(),
         };
         let link = self.links.entry(e.office).or_insert_with(fresh);
@@ -271,9 +288,9 @@
     }
 
     /// The one place where a link is given back.
-    fn drop_link(&mut self, office: OfficeId) {
+    fn drop_link(&mut self, now: Micros, office: OfficeId) {
         self.fail_waiting(office);
-        self.reset_sent(office);
+        self.reset_sent(now, office);
         self.cut_standing(office, |_| true);
         let Some(link) = self.links.remove(&office) else { return };
         if let Line::Connecting(conn) | Line::Up(conn) = link.line {
@@ -292,7 +309,7 @@
         let conn = ConnId(self.next_conn);
         self.next_conn += 1;
         link.line = Line::Connecting(conn);
-        link.retry_due = None;
+        (link.retry_due, link.heard, link.half) = (None, false, None);
         self.conns.insert(conn, office);
         self.counts.connects += 1;
         self.out.push(LinkOutput::Connect(conn, link.place.clone()));
@@ -304,7 +321,6 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let Some(link) = self.links.get_mut(&office) else { return };
         link.line = Line::Up(conn);
-        link.retry = RETRY.0;
         link.doubt = false;
         for (until, sid) in std::mem::take(&mut link.owed) {
             if now < until {
@@ -339,20 +355,21 @@
                 }
             }
             Closing::NotMade => self.fail_waiting(office),
-            Closing::Ended | Closing::Ours => self.reset_sent(office),
+            Closing::Ended | Closing::Ours => self.reset_sent(now, office),
             Closing::Broken => {
                 self.counts.broken += 1;
                 link.doubt = true;
-                self.reset_sent(office);
+                self.reset_sent(now, office);
             }
         }
         let Some(link) = self.links.get_mut(&office) else { return };
         if link.state == ListState::Gone {
-            return self.drop_link(office);
+            return self.drop_link(now, office);
         }
-        if was_up {
-            // An end in order with calls standing may be a process that stops.
-            link.doubt |= how == Closing::Ended;
+        // An end in order with calls standing may be a process that stops.
+        link.doubt |= was_up && how == Closing::Ended;
+        // Guards this task against a peer that ends each connection as soon as it is made.
+        if was_up && link.heard {
             self.connect(now, office);
         } else {
             let due = now + link.retry;
@@ -362,6 +379,26 @@
         }
     }
 
+    /// What came on a connection can't be read. Guards the other set-ups on it: nothing that follows can be trusted,
+    /// so that it is given up at once and all that was out on it counts as run and lost.
+    pub fn spoilt(&mut self, now: Micros, conn: ConnId) {
+        if self.conns.contains_key(&conn) {
+            self.counts.spoilt += 1;
+            self.out.push(LinkOutput::HangUp(conn));
+            self.closed(now, conn, Closing::Ours);
+        }
+    }
+
+    /// A message has begun on a connection, or what had begun is whole.
+    pub fn half(&mut self, now: Micros, conn: ConnId, half: bool) {
+        let office = self.conns.get(&conn);
+        let Some(link) = office.and_then(|o| self.links.get_mut(o)) else { return };
+        link.half = half.then_some(now);
+        if half {
+            self.out.push(LinkOutput::Wake(now + HALF, LinkDue::Half(conn, now)));
+        }
+    }
+
     /// A deadline has come.
     pub fn due(&mut self, now: Micros, due: LinkDue) {
         match due {
@@ -386,7 +423,13 @@
             }
             LinkDue::Gone(office) => {
                 if self.links.get(&office).is_some_and(|l| l.state == ListState::Gone) {
-                    self.drop_link(office);
+                    self.drop_link(now, office);
+                }
+            }
+            LinkDue::Half(conn, since) => {
+                let link = self.conns.get(&conn).and_then(|o| self.links.get(o));
+                if link.is_some_and(|l| l.half == Some(since)) {
+                    self.spoilt(now, conn);
                 }
             }
             LinkDue::Probe(sid) => {
@@ -444,7 +487,10 @@
             (Stage::Standing, Line::Up(conn)) => {
                 self.out.push(LinkOutput::Send { conn, message, set_up: None });
             }
-            (Stage::Standing, _) => link.owed.push((now + OWED_FOR, sid)),
+            (Stage::Standing, _) => {
+                link.owed.retain(|o| now < o.0);
+                link.owed.push((now + OWED_FOR, sid));
+            }
         }
     }
 
@@ -476,7 +522,7 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let load = message.load();
         if let Some(link) = self.links.get_mut(&office) {
-            link.settled = true;
+            (link.settled, link.heard, link.retry) = (true, true, RETRY.0);
         }
         // What comes on another exchange's connection, or for an attempt that is over, is not this leg's.
         let leg = message.sid.and_then(|s| self.legs.get_mut(&s)).filter(|l| l.office == office);
@@ -558,8 +604,15 @@
         self.end_legs(office, Ending::Unreachable, |l| l.stage == Stage::Waiting);
     }
 
-    fn reset_sent(&mut self, office: OfficeId) {
+    fn reset_sent(&mut self, now: Micros, office: OfficeId) {
+        let sent = |l: &Leg| l.office == office && matches!(l.stage, Stage::Sent(_));
+        let mut sids: Vec<Sid> = self.legs.iter().filter(|(_, l)| sent(l)).map(|(&s, _)| s).collect();
+        sids.sort_unstable();
         self.end_legs(office, Ending::Reset, |l| matches!(l.stage, Stage::Sent(_)));
+        if let Some(link) = self.links.get_mut(&office) {
+            link.owed.retain(|o| now < o.0);
+            link.owed.extend(sids.into_iter().map(|sid| (now + RELEASE_RESET, sid)));
+        }
     }
 
     fn cut_standing(&mut self, office: OfficeId, which: impl Fn(&Leg) -> bool) {
--- a/src/protocol/json_lines.rs
+++ b/src/protocol/json_lines.rs
@@ -265,28 +265,30 @@
 }
 
 /// Cuts a stream of bytes into lines. Guards against a line without an end: what is longer than a message is
-/// dropped up to its line feed, so that it costs its sender this one line and never more memory than that.
+/// told once, and nothing after it is kept or read.
 #[derive(Debug, Default)]
 pub struct LineSplitter {
     rest: Vec<u8>,
-    /// Dropping the remainder of a line that is too long.
-    dropping: bool,
+    /// A line was too long; where the next one begins can't be known.
+    spent: bool,
 }
 
 impl LineSplitter {
     /// Adds bytes and gives each line that they complete; empty lines are passed over.
     pub fn push(&mut self, mut bytes: &[u8], mut each: impl FnMut(Result<&[u8], LineError>)) {
-        while let Some(at) = bytes.iter().position(|&b| b == b'\n') {
-            let (head, tail) = bytes.split_at(at);
-            bytes = &tail[1..];
-            if std::mem::take(&mut self.dropping) {
-                continue;
-            }
+        while !self.spent && !bytes.is_empty() {
+            let end = bytes.iter().position(|&b| b == b'\n');
+            let (head, tail) = bytes.split_at(end.unwrap_or(bytes.len()));
+            // One byte more may be a carriage return.
             if self.rest.len() + head.len() > LONGEST + 1 {
-                self.rest.clear();
-                each(Err(LineError::TooLong));
-                continue;
+                self.rest = Vec::new();
+                self.spent = true;
+                return each(Err(LineError::TooLong));
             }
+            if end.is_none() {
+                return self.rest.extend_from_slice(head);
+            }
+            bytes = &tail[1..];
             let whole = if self.rest.is_empty() {
                 head
             } else {
@@ -296,19 +298,18 @@
             let line = whole.strip_suffix(b"\r").unwrap_or(whole);
             match line.len() {
                 0 => {}
-                n if n > LONGEST => each(Err(LineError::TooLong)),
+                n if n > LONGEST => {
+                    self.spent = true;
+                    each(Err(LineError::TooLong));
+                }
                 _ => each(Ok(line)),
             }
             self.rest.clear();
         }
-        if self.dropping {
-            return;
-        }
-        if self.rest.len() + bytes.len() > LONGEST + 1 {
-            self.rest = Vec::new();
-            self.dropping = true;
-            return each(Err(LineError::TooLong));
-        }
-        self.rest.extend_from_slice(bytes);
+    }
+
+    /// Whether a line has begun and not ended.
+    pub fn half(&self) -> bool {
+        !self.rest.is_empty()
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -35,8 +35,10 @@
     Connected,
     /// A message came.
     Message(Message),
-    /// A line came that is none.
+    /// A line came that is no message, and nothing more is read: what follows it can't be trusted.
     Bad(LineError),
+    /// A message has begun and not ended (`true`), or what had begun is whole.
+    Half(bool),
     /// It is no more.
     Closed(Closing),
 }
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -18,8 +18,6 @@
 const CHUNK: usize = 16 * 1024;
 /// Pause after an accept that failed, as when descriptors run short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A connection on which this many lines in a row are no messages is closed.
-const BAD_LINES: u32 = 32;
 /// A peer that acknowledges nothing for about this long is taken as gone.
 const KEEPALIVE: Duration = Duration::from_secs(2);
 
@@ -103,34 +101,34 @@
 
 async fn read(mut stream: &Async<TcpStream>, side: Side, conn: ConnId, inbox: &Sender<Inbound>) -> Closing {
     let mut buffer = vec![0; CHUNK];
-    let mut lines = LineSplitter::default();
-    let mut bad = 0;
+    let (mut lines, mut half) = (LineSplitter::default(), false);
     loop {
         let n = match stream.read(&mut buffer).await {
             Ok(0) => return Closing::Ended,
             Ok(n) => n,
             Err(_) => return Closing::Broken,
         };
-        let mut news = Vec::new();
-        lines.push(&buffer[..n], |line| {
-            news.push(match line.and_then(Message::parse) {
-                Ok(message) => {
-                    bad = 0;
-                    ConnNews::Message(message)
-                }
-                Err(e) => {
-                    bad += 1;
-                    ConnNews::Bad(e)
-                }
-            });
+        let (mut news, mut bad) = (Vec::new(), None);
+        lines.push(&buffer[..n], |line| match line.and_then(Message::parse) {
+            Ok(message) if bad.is_none() => news.push(ConnNews::Message(message)),
+            Ok(_) => {}
+            Err(e) => drop(bad.get_or_insert(e)),
         });
-        for n in news {
+        // A half line is told when it begins, so that its time counts from then however slowly the rest comes.
+        let was = std::mem::replace(&mut half, lines.half());
+        if half != was || (half && !news.is_empty()) {
+            news.push(ConnNews::Half(half));
+        }
+        let finished = bad.is_some();
+        for n in news.into_iter().chain(bad.map(ConnNews::Bad)) {
             if inbox.send(Inbound::Conn(side, conn, n)).await.is_err() {
                 return Closing::Ours;
             }
         }
-        if bad >= BAD_LINES {
-            return Closing::Ours;
+        if finished {
+            // What it still sends stays with the system, which stops the sender: the end of the connection is up
+            // to whoever hears of the bad line.
+            return future::pending().await;
         }
     }
 }
