Test a silent connection of an exchange and give it up when nothing comes

Checked with a trace: at 5.6 s one exchange's connection and at 8.3 s the other's brought nothing more, neither status nor answers nor releases, yet stayed open; until then some 200 messages a second came on each. The module shut its gates and tried one call in two seconds, on the same dead connection. Releases go out again only on the next connection, which was never opened. Ruled out: lines cut short (no half line was ever there), callers' connections, a hung exchange (it answers at once on a new connection). At fault: Links had no limit on silence while calls were at an exchange.

With calls there, 200 ms without a message bring a test and 300 ms more the end of the connection. The first silence is taken for the connection's fault (a reset), further ones for the exchange's (no answer in time), with the wait doubled up to 2.4 s. A look that comes late shows a stall of this program and judges nothing.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -69,6 +69,7 @@
         ("exchanges.refused", l.refused),
         ("exchanges.broken", l.broken),
         ("exchanges.spoilt", l.spoilt),
+        ("exchanges.stalled", l.stalled),
         ("exchanges.late_answers", l.late_answers),
         ("exchanges.stray", l.stray),
         ("exchanges.found_cut", l.found_cut),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -539,6 +539,9 @@
             }
             LinkOutput::Group(office, load) => self.ledger.group(now, office, load),
             LinkOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
+            LinkOutput::GaveUp(member, why) => {
+                self.tasks.push(Task::Log(format!("exchange {member}: connection given up: {why}")));
+            }
             LinkOutput::Earlier(sid, code) => self.callers.release_earlier(now, sid, code),
         }
     }
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -17,6 +17,15 @@
 /// A message that has begun on a connection is whole by then, or the connection is of no further use (µs): on the
 /// way of a message of 16 KiB nothing takes that long.
 const HALF: Micros = 300_000;
+/// How often each connection is looked at for silence (µs).
+const LOOK: Micros = 100_000;
+/// With calls at an exchange, its connection is tested after so long without a message (µs).
+const SILENT: Micros = 200_000;
+/// It is of no further use if nothing comes for so long after that: at first, and at the most where one connection
+/// after the other falls silent, so that the exchange itself may be what hangs (µs).
+const UNTESTED: (Micros, Micros) = (300_000, 2_400_000);
+/// A look that comes this much too late shows that this program stood still, and says nothing of the exchange (µs).
+const STOOD_STILL: Micros = 100_000;
 /// For so long after a connection is lost, the set-ups that were out on it are released on the next one (µs). An
 /// answer may have been on its way, and what it took is taken still. Well under the quiet period, after which the
 /// same name may be set up again.
@@ -58,6 +67,8 @@
     Probe(Sid),
     /// What began on this connection at that time ought to be whole.
     Half(ConnId, Micros),
+    /// Look whether a connection is silent; when that was meant to be.
+    Look(ConnId, Micros),
 }
 
 /// What is to be done, or was learnt.
@@ -97,6 +108,8 @@
     ProbeFailed(OfficeId),
     /// A call of this program's earlier life is over.
     Earlier(Sid, u16),
+    /// The connection to this member of the list was given up, and why: for the log.
+    GaveUp(String, &'static str),
 }
 
 /// Counts of what was odd.
@@ -110,6 +123,8 @@
     pub broken: u64,
     /// Connections given up since what came on them could not be read, or stopped within a message.
     pub spoilt: u64,
+    /// Connections given up since nothing came on them, not even the answer to a test.
+    pub stalled: u64,
     /// Answers to set-ups that had been given up; each was released.
     pub late_answers: u64,
     /// Messages about calls that are not known here.
@@ -157,8 +172,12 @@
     doubt: bool,
     /// It was connected and spoke, or could not be connected, at least once.
     settled: bool,
-    /// Something was heard on the present connection, or on the last one.
-    heard: bool,
+    /// When something was last heard on the present connection.
+    heard: Option<Micros>,
+    /// When the present connection was tested, with nothing heard since.
+    tested: Option<Micros>,
+    /// How long the answer to a test is waited for.
+    patience: Micros,
     /// Since when a message has been half there.
     half: Option<Micros>,
     /// Releases that no connection could carry, and until when they are kept.
@@ -256,7 +275,9 @@
             retry_due: None,
             doubt: false,
             settled: false,
-            heard: false,
+            heard: None,
+            tested: None,
+            patience: UNTESTED.0,
             half: None,
             owed: Vec::new(),
         };
@@ -290,7 +311,7 @@
     /// The one place where a link is given back.
     fn drop_link(&mut self, now: Micros, office: OfficeId) {
         self.fail_waiting(office);
-        self.reset_sent(now, office);
+        self.end_sent(now, office, Ending::Reset);
         self.cut_standing(office, |_| true);
         let Some(link) = self.links.remove(&office) else { return };
         if let Line::Connecting(conn) | Line::Up(conn) = link.line {
@@ -309,7 +330,7 @@
         let conn = ConnId(self.next_conn);
         self.next_conn += 1;
         link.line = Line::Connecting(conn);
-        (link.retry_due, link.heard, link.half) = (None, false, None);
+        (link.retry_due, link.heard, link.tested, link.half) = (None, None, None, None);
         self.conns.insert(conn, office);
         self.counts.connects += 1;
         self.out.push(LinkOutput::Connect(conn, link.place.clone()));
@@ -322,6 +343,7 @@
         let Some(link) = self.links.get_mut(&office) else { return };
         link.line = Line::Up(conn);
         link.doubt = false;
+        self.out.push(LinkOutput::Wake(now + LOOK, LinkDue::Look(conn, now + LOOK)));
         for (until, sid) in std::mem::take(&mut link.owed) {
             if now < until {
                 let message = Message::close(sid, cause::NORMAL);
@@ -355,11 +377,11 @@
                 }
             }
             Closing::NotMade => self.fail_waiting(office),
-            Closing::Ended | Closing::Ours => self.reset_sent(now, office),
+            Closing::Ended | Closing::Ours => self.end_sent(now, office, Ending::Reset),
             Closing::Broken => {
                 self.counts.broken += 1;
                 link.doubt = true;
-                self.reset_sent(now, office);
+                self.end_sent(now, office, Ending::Reset);
             }
         }
         let Some(link) = self.links.get_mut(&office) else { return };
@@ -369,7 +391,7 @@
         // An end in order with calls standing may be a process that stops.
         link.doubt |= was_up && how == Closing::Ended;
         // Guards this task against a peer that ends each connection as soon as it is made.
-        if was_up && link.heard {
+        if was_up && link.heard.is_some() {
             self.connect(now, office);
         } else {
             let due = now + link.retry;
@@ -382,13 +404,44 @@
     /// What came on a connection can't be read. Guards the other set-ups on it: nothing that follows can be trusted,
     /// so that it is given up at once and all that was out on it counts as run and lost.
     pub fn spoilt(&mut self, now: Micros, conn: ConnId) {
-        if self.conns.contains_key(&conn) {
+        let link = self.conns.get(&conn).and_then(|o| self.links.get(o));
+        if let Some(link) = link {
             self.counts.spoilt += 1;
+            self.out.push(LinkOutput::GaveUp(link.place.member.clone(), "what comes can't be read"));
             self.out.push(LinkOutput::HangUp(conn));
             self.closed(now, conn, Closing::Ours);
         }
     }
 
+    /// Guards calls against a connection that stays open and dead: answers and releases would be waited for on it
+    /// for ever. The exchange tells its releases again on the next one.
+    fn look(&mut self, now: Micros, conn: ConnId, meant: Micros) {
+        let Some(&office) = self.conns.get(&conn) else { return };
+        let Some(link) = self.links.get_mut(&office) else { return };
+        let late = now - meant > STOOD_STILL;
+        let silent = link.heard.is_none_or(|at| now - at >= SILENT);
+        match link.tested {
+            Some(at) if now - at >= link.patience && !late => {
+                // The module takes a reset for a sign of life, and no answer in time for none. Guards it against
+                // shutting out an exchange that has lost a connection, and against trusting one that hangs.
+                let how = if link.patience == UNTESTED.0 { Ending::Reset } else { Ending::TimedOut };
+                link.patience = (link.patience * 2).min(UNTESTED.1);
+                self.counts.stalled += 1;
+                self.out.push(LinkOutput::GaveUp(link.place.member.clone(), "nothing comes"));
+                self.out.push(LinkOutput::HangUp(conn));
+                self.end_sent(now, office, how);
+                return self.closed(now, conn, Closing::Ours);
+            }
+            Some(_) if !late => {}
+            _ if silent && self.legs.values().any(|l| l.office == office) => {
+                link.tested = Some(now);
+                self.probe(now, office);
+            }
+            _ => link.tested = None,
+        }
+        self.out.push(LinkOutput::Wake(now + LOOK, LinkDue::Look(conn, now + LOOK)));
+    }
+
     /// A message has begun on a connection, or what had begun is whole.
     pub fn half(&mut self, now: Micros, conn: ConnId, half: bool) {
         let office = self.conns.get(&conn);
@@ -432,6 +485,7 @@
                     self.spoilt(now, conn);
                 }
             }
+            LinkDue::Look(conn, meant) => self.look(now, conn, meant),
             LinkDue::Probe(sid) => {
                 if let Some(office) = self.probes.remove(&sid) {
                     self.out.push(LinkOutput::ProbeFailed(office));
@@ -522,7 +576,11 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let load = message.load();
         if let Some(link) = self.links.get_mut(&office) {
-            (link.settled, link.heard, link.retry) = (true, true, RETRY.0);
+            (link.settled, link.retry) = (true, RETRY.0);
+            (link.heard, link.tested) = (Some(now), None);
+            if message.kind != Kind::Status {
+                link.patience = UNTESTED.0;
+            }
         }
         // What comes on another exchange's connection, or for an attempt that is over, is not this leg's.
         let leg = message.sid.and_then(|s| self.legs.get_mut(&s)).filter(|l| l.office == office);
@@ -604,11 +662,11 @@
         self.end_legs(office, Ending::Unreachable, |l| l.stage == Stage::Waiting);
     }
 
-    fn reset_sent(&mut self, now: Micros, office: OfficeId) {
+    fn end_sent(&mut self, now: Micros, office: OfficeId, how: Ending) {
         let sent = |l: &Leg| l.office == office && matches!(l.stage, Stage::Sent(_));
         let mut sids: Vec<Sid> = self.legs.iter().filter(|(_, l)| sent(l)).map(|(&s, _)| s).collect();
         sids.sort_unstable();
-        self.end_legs(office, Ending::Reset, |l| matches!(l.stage, Stage::Sent(_)));
+        self.end_legs(office, how, |l| matches!(l.stage, Stage::Sent(_)));
         if let Some(link) = self.links.get_mut(&office) {
             link.owed.retain(|o| now < o.0);
             link.owed.extend(sids.into_iter().map(|sid| (now + RELEASE_RESET, sid)));
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -94,6 +94,8 @@
     conn: Option<(ConnId, bool)>,
     /// Since when a message has been half there.
     half: Option<Micros>,
+    /// When something was last heard, or the connection came up, or a call was sent where there was none.
+    heard: Micros,
     legs: Vec<Leg>,
     state: ListState,
 }
@@ -113,6 +115,9 @@
                     (self.conn, self.half) = (Some((conn, false)), None);
                 }
                 LinkOutput::Send { conn, message, set_up } => {
+                    if !self.legs.iter().any(|l| matches!(l, Leg::Out | Leg::Standing)) {
+                        self.heard = self.now;
+                    }
                     assert_eq!(self.conn, Some((conn, true)), "sent where it can be heard");
                     assert_eq!(set_up.is_some(), message.kind == Kind::Open);
                     if let Some(call) = set_up {
@@ -138,7 +143,7 @@
                     *leg = Leg::Over;
                 }
                 LinkOutput::Earlier(sid, _) => panic!("{sid} is of this life"),
-                LinkOutput::Group(..) | LinkOutput::ProbeFailed(_) => {}
+                LinkOutput::Group(..) | LinkOutput::ProbeFailed(_) | LinkOutput::GaveUp(..) => {}
             }
         }
     }
@@ -163,7 +168,7 @@
             }
             LinkStep::Up => {
                 if let Some((conn, false)) = self.conn {
-                    self.conn = Some((conn, true));
+                    (self.conn, self.heard) = (Some((conn, true)), self.now);
                     self.links.connected(self.now, conn);
                 }
             }
@@ -176,6 +181,7 @@
             LinkStep::Ready(i) => {
                 if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
                     let before = self.legs[i];
+                    self.heard = self.now;
                     self.links.message(self.now, conn, Message::new(Kind::Ready, Some(Sid(i as u64))));
                     let released = self.links.counts().late_answers;
                     self.settle();
@@ -185,6 +191,7 @@
             }
             LinkStep::Close(i, code) => {
                 if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
+                    self.heard = self.now;
                     self.links.message(self.now, conn, Message::close(Sid(i as u64), code));
                 }
             }
@@ -221,6 +228,9 @@
         self.now = end;
         let stale = self.conn.is_some() && self.half.is_some_and(|since| end - since > 300 * MS);
         assert!(!stale, "a message that stops half way ends the connection");
+        let calls = self.legs.iter().any(|l| matches!(l, Leg::Out | Leg::Standing));
+        let up = self.conn.is_some_and(|c| c.1);
+        assert!(!(up && calls && end - self.heard > 2_800 * MS), "one that stays open and dead is given up");
     }
 }
 
@@ -255,6 +265,7 @@
             due: Deadlines::default(),
             conn: None,
             half: None,
+            heard: 0,
             legs: Vec::new(),
             state: ListState::Ready,
         };
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -7,6 +7,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const TEXT: &str = "v=0\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\na=x:\u{e9}\u{1}\"\\/\r\n";
@@ -15,19 +16,21 @@
 struct Line {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// While this is there, whoever reports of itself on the stream goes on.
+    here: Arc<()>,
 }
 
 impl Line {
     fn on(stream: TcpStream) -> Line {
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(WAIT)).unwrap();
-        Line { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+        Line { reader: BufReader::new(stream.try_clone().unwrap()), stream, here: Arc::new(()) }
     }
     fn to(address: SocketAddr) -> Line {
         Line::on(TcpStream::connect(address).unwrap())
     }
     fn say(&mut self, message: Value) {
-        writeln!(self.stream, "{message}").unwrap();
+        self.raw(format!("{message}\n").as_bytes());
     }
     fn raw(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
@@ -89,15 +92,38 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
-/// An exchange that takes one connection and tells of its group, as exchanges do first of all.
-fn accept(listener: &TcpListener) -> Line {
+const STATUS: &str =
+    "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"x0:20;x1:20;latency_ms:-1;qps:-1\"}}\n";
+
+/// An exchange that takes one connection and tells of its group, as exchanges do first of all, and no more.
+fn accept_mute(listener: &TcpListener) -> Line {
     let mut line = Line::on(listener.accept().unwrap().0);
-    line.say(json!({"msg": "status", "attrs": {"load": "x0:20;x1:20;latency_ms:-1;qps:-1"}}));
+    line.raw(STATUS.as_bytes());
+    line
+}
+
+/// One that goes on to tell of its group, as exchanges with calls do.
+fn accept(listener: &TcpListener) -> Line {
+    let line = accept_mute(listener);
+    let (here, mut stream) = (Arc::downgrade(&line.here), line.stream.try_clone().unwrap());
+    std::thread::spawn(move || {
+        while here.strong_count() > 0 && stream.write_all(STATUS.as_bytes()).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
     line
 }
 
 /// The program with these exchanges known, each connected.
 fn start(exchanges: &[&TcpListener], more: Value) -> (Program, SocketAddr, Vec<Line>) {
+    start_with(accept, exchanges, more)
+}
+
+fn start_with(
+    accept: fn(&TcpListener) -> Line,
+    exchanges: &[&TcpListener],
+    more: Value,
+) -> (Program, SocketAddr, Vec<Line>) {
     let members: Vec<Value> = (1..)
         .zip(exchanges)
         .map(|(i, l)| member(&format!("s-{i}"), l.local_addr().unwrap(), i, "up"))
@@ -106,7 +132,7 @@
     more.as_object().unwrap().iter().for_each(|(k, v)| all[k] = v.clone());
     let program = Program::start(&[("--config", &file("config.json", &all.to_string()))], &[]);
     let callers = program.at("callers");
-    let lines = exchanges.iter().map(|l| accept(l)).collect();
+    let lines = exchanges.iter().copied().map(accept).collect();
     let mut test = Line::to(callers);
     // The test passes once every exchange has been heard of.
     until("the test passes", || {
@@ -263,7 +289,7 @@
     let spoilt = [b"\x89=0\x9c:AA\r\n".to_vec(), vec![b'A'; 40_000], half, b"{\"msg\":\"ready\"}\n".to_vec()];
     for (n, bytes) in (100..).step_by(10).zip(spoilt) {
         let l = listener();
-        let (_p, callers, mut x) = start(&[&l], json!({}));
+        let (_p, callers, mut x) = start_with(accept_mute, &[&l], json!({}));
         let mut c = Line::to(callers);
         for n in [n, n + 1] {
             c.say(open(&sid(n), 1, 9000));
@@ -287,6 +313,29 @@
     }
 }
 
+#[test]
+fn a_connection_that_stays_open_and_dead_is_given_up_and_what_was_over_meanwhile_is_told() {
+    let l = listener();
+    let (_p, callers, mut x) = start_with(accept_mute, &[&l], json!({}));
+    let mut c = Line::to(callers);
+    for n in [90, 91] {
+        c.say(open(&sid(n), 1, 9000));
+        x[0].about(&sid(n));
+    }
+    x[0].say(json!({"msg": "ready", "sid": sid(90), "attrs": {}, "text": TEXT}));
+    assert_eq!(c.about(&sid(90))["msg"], "ready");
+    // A test on it that is answered keeps it.
+    let test = std::iter::repeat_with(|| x[0].hear()).find(|m| m["msg"] == "probe").unwrap();
+    x[0].say(json!({"msg": "probed", "sid": test["sid"], "attrs": {"load": "x0:18;x1:20"}, "code": 1}));
+    // From here on nothing: the next connection brings the release that was lost, and the set-up again.
+    let mut y = accept(&l);
+    y.say(close(&sid(90), 16));
+    assert_eq!(c.about(&sid(90))["code"], 16);
+    let again = std::iter::repeat_with(|| y.about(&sid(91))).find(|m| m["msg"] == "open").unwrap();
+    y.say(json!({"msg": "ready", "sid": again["sid"], "attrs": {}, "text": TEXT}));
+    assert_eq!(c.about(&sid(91))["msg"], "ready");
+}
+
 #[test]
 fn no_connection_owns_a_call_that_stands() {
     let l = listener();
