Send a call that met a signalling fault again, at once or over a tandem

Checked with a trace of set-ups and answers by exchange: one exchange ended six of ten set-ups from both others with cause 47 and no note after 13 ms, at all loads, while its processor reported no wait and its groups were half free; the same calls through a tandem met none. Each such call was refused, and its caller came back two seconds later. Ruled out: full groups (their moots bear no_path), the links (no reset), SIGHUP and the restart. Calls for the own exchange, which come while another controller restarts, have no way on and are refused rightly. At fault: Controller::on_ended gave up on every fault; serves() knew nothing of a tandem that fails calls.

A call that met a fault goes again at once, after the second by a tandem if one serves, as long as the office does not fail nearly all; guarded calls, busy lines and calls in transit do not. An office failing a quarter is no tandem.

--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -19,6 +19,15 @@
 const LUCK_LEAST: f64 = 0.5;
 /// Weight of one turn, or one set-up out long, in such a share.
 const LUCK_SMOOTH: f64 = 0.05;
+/// A call that met a signalling fault goes again at once while less than this share of the office's set-ups do, so
+/// that an office that fails part of them serves most calls, and one that fails all is asked once a call.
+const FAULTS_MOST: f64 = 0.97;
+/// Weight of one set-up in that share.
+const FAULTS_SMOOTH: f64 = 0.1;
+/// From this share on an office is no tandem.
+const FAULTS_TANDEM: f64 = 0.25;
+/// A call that met so many faults takes a tandem if there is one: what fails from here may not from there.
+const FAULTS_DIRECT: u32 = 2;
 /// Set-ups that any later one overtook are called off while this share of those out long is lost, not slow.
 const LOST_LEAST: f64 = 0.6;
 /// For how long a way counts as open after the centre named it or a call stood over it (µs).
@@ -105,6 +114,8 @@
     tried: Vec<usize>,
     /// An attempt may have run.
     ran: bool,
+    /// Signalling faults met.
+    faults: u32,
 }
 
 /// How many set-ups may be out, toward an office or from the own processor. Widens while set-ups stand
@@ -175,6 +186,8 @@
     stood_sent: Micros,
     /// How long the last set-up took that stood or was called off.
     last_took: Micros,
+    /// Share of its set-ups that ended in a signalling fault, smoothed.
+    faults: f64,
     gate: Gate,
     /// While it is cold: since when set-ups are earned, and how much of one was owed then: a random part at
     /// its start, so that senders do not come in step.
@@ -454,7 +467,9 @@
         if !self.own_gate.lets_in(now, self.own_out(now) + spare) {
             return Route::Blocked;
         }
-        if open && d.free() >= width + if ask.redialled { d.headroom() } else { 0.0 } {
+        let room = open && d.free() >= width + if ask.redialled { d.headroom() } else { 0.0 };
+        let faulty = call.faults >= FAULTS_DIRECT && self.settings.shape == Shape::Mesh && !ask.redialled;
+        if room && !faulty {
             return Route::Via(direct);
         }
         if self.settings.shape == Shape::Mesh && (!open || ask.redialled) {
@@ -482,6 +497,7 @@
                 self.rotor = i + 1;
                 Route::Via(i)
             }
+            None if room => Route::Via(direct),
             None => Route::Blocked,
         }
     }
@@ -494,6 +510,7 @@
             && self.skilled(ask, t.exchange)
             && t.group.is_some_and(|g| g.0 >= f64::from(ask.width) + t.headroom())
             && !call.tried.contains(&i)
+            && t.faults < FAULTS_TANDEM
             && t.leads_to(ask.destination)
             && self.ways.get(&(ask.destination, i)).is_none_or(|w| now >= w.back)
             && self.accepting(now, t)
@@ -554,7 +571,7 @@
         if let Some(&i) = ask.via.filter(|_| !ask.transit).and_then(|t| self.by_exchange.get(&t)) {
             self.note_open(now, ask.destination, i);
         }
-        let call = Call { ask, arrived, deadline, stage, tries: 0, tried: Vec::new(), ran: false };
+        let call = Call { ask, arrived, deadline, stage, tries: 0, tried: Vec::new(), ran: false, faults: 0 };
         self.calls.insert(id, call);
         self.try_call(now, id, out);
     }
@@ -664,6 +681,7 @@
             self.recent.drain(..self.recent.len().saturating_sub(RECENT));
             o.stood_sent = o.stood_sent.max(now - took);
             o.last_took = took;
+            o.faults -= FAULTS_SMOOTH * o.faults;
             self.stood_sent = self.stood_sent.max(now - took);
             // One that stands at once when sent again was lost before; one that stands late was slow.
             let late = took as f64 > OVERTAKEN * self.mean_aim;
@@ -701,10 +719,17 @@
         let Some(call) = self.calls.get_mut(&o.call) else { return };
         call.ran |= !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent);
         let direct = self.offices[office].exchange == call.ask.destination;
+        let faults = self.offices[office].faults;
         let again = match (o.ending, o.cause) {
             (Ending::Full, Cause::FarProcessorFull) | (_, Cause::LinesBusy) => false,
             (Ending::NotSent, Cause::NoCircuit) => true,
             (Ending::Full, _) => !direct || self.settings.shape == Shape::Pools,
+            // Danger: an exchange that fails part of its set-ups at once would have each of them refused, and its
+            // caller dial again only after a wait.
+            (Ending::Fault, _) => {
+                call.faults += 1;
+                faults < FAULTS_MOST && !call.ask.transit
+            }
             _ => unclear,
         };
         let hold = call.arrived + (HOLD_SHARE * aim as f64) as Micros;
@@ -751,6 +776,7 @@
             // Danger: an answer was lost, but the office works: it answered what was sent later.
             (Ending::TimedOut, _) if office.stood_sent > now - o.took => {}
             (Ending::Unreachable | Ending::TimedOut, _) => office.shut(now, 0),
+            (Ending::Fault, Cause::None) => office.faults += FAULTS_SMOOTH * (1.0 - office.faults),
             (_, Cause::LinesBusy) => {
                 let number = self.calls.get(&o.call).and_then(|c| c.ask.number);
                 if let Some(n) = number.filter(|_| self.numbers.len() < NUMBERS_CAP) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -884,3 +884,60 @@
     assert!(busy > 20, "{busy}");
     assert_eq!(quiet, 5);
 }
+
+#[test]
+fn a_call_that_met_a_fault_goes_again_at_once_unless_the_office_fails_nearly_all() {
+    let fault = |id, attempt, at| ended(id, attempt, at, Ending::Fault, Cause::None);
+    let mut bed = Bed::new();
+    assert_eq!(sent(&bed.call(0, 1)), [office(1)]);
+    // Once more there, then over tandems; at most as many attempts as a call may have, and one answer.
+    assert_eq!(sent(&bed.tell(fault(0, 0, 1))), [office(1)]);
+    let mut at = 1;
+    for attempt in 1..5 {
+        let to = sent(&bed.tell(fault(0, attempt, at)));
+        assert_eq!(to.len(), 1);
+        assert!(attempt > 3 || to != [office(1)], "a tandem while there is one not tried");
+        at = u16::from(to[0].addr[3]);
+    }
+    let last = bed.tell(fault(0, 5, at));
+    assert_eq!((sent(&last).len(), finals(&last)), (0, 1));
+    // A redial, which takes no tandem, goes there again.
+    let redial = NewCall { redialled: true, ..call(90, 1) };
+    assert_eq!(sent(&bed.tell(Event::Call(redial))), [office(1)]);
+    for attempt in 0..5 {
+        assert_eq!(sent(&bed.tell(fault(90, attempt, 1))), [office(1)]);
+    }
+    bed.tell(Event::CallerGone(CallId(90)));
+    // Lines that are busy are not asked again.
+    bed.call(1, 2);
+    let busy = bed.tell(ended(1, 0, 2, Ending::Fault, Cause::LinesBusy));
+    assert_eq!((sent(&busy).len(), finals(&busy)), (0, 1));
+    // Where all set-ups fail, each call asks once, and none goes by that tandem; where some stand, calls go again.
+    for id in 2..60 {
+        bed.tell(group(1, 20.0));
+        bed.call(id, 1);
+        bed.tell(fault(id, 0, 1));
+        bed.tell(Event::CallerGone(CallId(id)));
+    }
+    bed.tell(group(1, 20.0));
+    bed.call(60, 1);
+    let once = bed.tell(fault(60, 0, 1));
+    assert_eq!((sent(&once).len(), finals(&once)), (0, 1));
+    bed.tell(group(2, 0.0));
+    for id in 70..76 {
+        assert_ne!(sent(&bed.call(id, 2)), [office(1)]);
+    }
+    for id in 61..65 {
+        bed.call(id, 1);
+        bed.tell(stands(id, 1, 20 * MS));
+    }
+    bed.call(65, 1);
+    assert_eq!(sent(&bed.tell(fault(65, 0, 1))), [office(1)]);
+    // A guarded call may have run.
+    let mut careful = settings();
+    careful.classes[0].effect = Effect::Guarded;
+    let mut bed = Bed::with(careful);
+    bed.call(0, 1);
+    let over = bed.tell(fault(0, 0, 1));
+    assert_eq!((sent(&over).len(), finals(&over)), (0, 1));
+}
