Measure silence by a connection's usual gaps, and give back names of replaced exchanges

Roster kept each name ever heard; the ledger kept removed exchanges for ten minutes; calls open at SIGTERM with long patience were left to be killed. Ruled out: the quiet period (500 ms by rule) as the only cause: the p99 to the first attempt fell too. The test goes out after ten usual gaps (100 to 300 ms), its answer is waited for four usual set-ups (150 to 500 ms). A removed name is given back with its removal, the ledger's note after the grace, and nothing is sent to an exchange that the ledger does not know. Calls open 0.5 s after the longest deadline from SIGTERM on are failed.

--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -33,6 +33,10 @@
 const STOP_WINDOW: Micros = 1_000_000;
 /// After a request to stop, calls that stand are waited for this long (µs).
 const STOP_STANDING: Micros = 8_000_000;
+/// After a request to stop, calls that are still open are failed once the longest deadline has passed, counted as
+/// this at the most, and a little more (µs). Guards their answers: a platform that asks for a stop ends the program
+/// 0.7 s after that deadline.
+const STOP_OPEN: (Micros, Micros) = (3_000_000, 500_000);
 
 /// Spans kept between two exports; more are dropped.
 const SPANS: usize = 512;
@@ -52,6 +56,8 @@
     Export,
     /// Look whether the program may end.
     Stop,
+    /// The program stops, and answers what it still owes.
+    LastAnswers,
 }
 
 /// What only the transport can do.
@@ -208,6 +214,7 @@
                 }
                 Due::Export => self.export(now),
                 Due::Stop => {}
+                Due::LastAnswers => self.ledger.fail_open(now),
             }
             self.settle(now);
         }
@@ -353,6 +360,8 @@
             for at in [STOP_WINDOW, STOP_STANDING] {
                 self.deadlines.add(now + at, Due::Stop);
             }
+            let longest = self.config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
+            self.deadlines.add(now + longest.min(STOP_OPEN.0) + STOP_OPEN.1, Due::LastAnswers);
         }
     }
 
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -18,12 +18,18 @@
 /// way of a message of 16 KiB nothing takes that long.
 const HALF: Micros = 300_000;
 /// How often each connection is looked at for silence (µs).
-const LOOK: Micros = 100_000;
-/// With calls at an exchange, its connection is tested after so long without a message (µs).
-const SILENT: Micros = 200_000;
-/// It is of no further use if nothing comes for so long after that: at first, and at the most where one connection
-/// after the other falls silent, so that the exchange itself may be what hangs (µs).
-const UNTESTED: (Micros, Micros) = (300_000, 2_400_000);
+const LOOK: Micros = 50_000;
+/// With calls at an exchange, its connection is tested after so many of the usual gaps between its messages, within
+/// these bounds (µs).
+const SILENT: (f64, Micros, Micros) = (10.0, 100_000, 300_000);
+/// It is of no further use if nothing comes for so long after that, at the least: within these bounds, as long as
+/// it was silent before or so many times as long as the last set-up took (µs).
+const UNTESTED: (Micros, Micros, Micros) = (4, 150_000, 500_000);
+/// The same at the most, doubled each time one connection after the other falls silent, so that the exchange itself
+/// may be what hangs (µs).
+const HANGS: Micros = 2_400_000;
+/// Weight of one gap between messages in the usual one.
+const GAP_SMOOTH: f64 = 0.1;
 /// A look that comes this much too late shows that this program stood still, and says nothing of the exchange (µs).
 const STOOD_STILL: Micros = 100_000;
 /// For so long after a connection is lost, the set-ups that were out on it are released on the next one (µs). An
@@ -176,8 +182,11 @@
     heard: Option<Micros>,
     /// When the present connection was tested, with nothing heard since.
     tested: Option<Micros>,
-    /// How long the answer to a test is waited for.
-    patience: Micros,
+    /// The usual gap between messages, smoothed (µs), and how long the last set-up took that was answered.
+    gap: f64,
+    took: Micros,
+    /// Connections given up for silence, one after the other.
+    silences: u32,
     /// Since when a message has been half there.
     half: Option<Micros>,
     /// Releases that no connection could carry, and until when they are kept.
@@ -277,7 +286,9 @@
             settled: false,
             heard: None,
             tested: None,
-            patience: UNTESTED.0,
+            gap: SILENT.2 as f64,
+            took: UNTESTED.2,
+            silences: 0,
             half: None,
             owed: Vec::new(),
         };
@@ -419,13 +430,16 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let Some(link) = self.links.get_mut(&office) else { return };
         let late = now - meant > STOOD_STILL;
-        let silent = link.heard.is_none_or(|at| now - at >= SILENT);
+        let usual = ((SILENT.0 * link.gap) as Micros).clamp(SILENT.1, SILENT.2);
+        let silent = link.heard.is_none_or(|at| now - at >= usual);
+        let patience = usual.max(UNTESTED.0 * link.took).clamp(UNTESTED.1, UNTESTED.2);
+        let patience = (patience << link.silences.min(8)).min(HANGS);
         match link.tested {
-            Some(at) if now - at >= link.patience && !late => {
+            Some(at) if now - at >= patience && !late => {
                 // The module takes a reset for a sign of life, and no answer in time for none. Guards it against
                 // shutting out an exchange that has lost a connection, and against trusting one that hangs.
-                let how = if link.patience == UNTESTED.0 { Ending::Reset } else { Ending::TimedOut };
-                link.patience = (link.patience * 2).min(UNTESTED.1);
+                let how = if link.silences == 0 { Ending::Reset } else { Ending::TimedOut };
+                link.silences += 1;
                 self.counts.stalled += 1;
                 self.out.push(LinkOutput::GaveUp(link.place.member.clone(), "nothing comes"));
                 self.out.push(LinkOutput::HangUp(conn));
@@ -577,9 +591,11 @@
         let load = message.load();
         if let Some(link) = self.links.get_mut(&office) {
             (link.settled, link.retry) = (true, RETRY.0);
+            let gap = link.heard.map_or(link.gap, |at| (now - at).min(SILENT.2) as f64);
+            link.gap += GAP_SMOOTH * (gap - link.gap);
             (link.heard, link.tested) = (Some(now), None);
             if message.kind != Kind::Status {
-                link.patience = UNTESTED.0;
+                link.silences = 0;
             }
         }
         // What comes on another exchange's connection, or for an attempt that is over, is not this leg's.
@@ -588,6 +604,9 @@
             (Kind::Ready, Some(leg)) => {
                 if matches!(leg.stage, Stage::Sent(_)) {
                     leg.stage = Stage::Standing;
+                    if let Some(link) = self.links.get_mut(&office) {
+                        link.took = now - leg.began;
+                    }
                     let (call, attempt) = (leg.call, leg.attempt);
                     self.group(office, load);
                     self.out.push(LinkOutput::Answered(call, attempt, message.text));
--- a/src/protocol/membership.rs
+++ b/src/protocol/membership.rs
@@ -116,12 +116,21 @@
                 Phase::Removed => ListState::Gone,
             };
             let last_start = (m.up_since_ms > 0.0).then_some((m.up_since_ms * 1000.0) as i64);
-            let (exchange, office) = (ExchangeNo(m.cell), self.office(&m.id));
+            // Guards memory: machines are replaced for as long as the program runs, each under a new name. One that
+            // is removed gives its name back, and is news only if it was known.
+            let office = match state {
+                ListState::Gone => self.names.remove(&m.id),
+                _ => Some(self.office(&m.id)),
+            };
+            let (exchange, Some(office)) = (ExchangeNo(m.cell), office) else { continue };
             entries.push(ListEntry { exchange, zone, state, office, last_start });
             places.push(Place { member: m.id, address });
         }
         let complete = event.endpoints.complete || !self.begun;
         self.begun = true;
+        if complete {
+            self.names.retain(|_, office| entries.iter().any(|e: &ListEntry| e.office == *office));
+        }
         let news = match (complete, cached) {
             (false, _) => ListNews::Changes(entries.into()),
             (true, false) => ListNews::Complete(entries.into()),
@@ -129,9 +138,35 @@
         };
         Ok(Update { index: event.index, news, places })
     }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
 
-    /// Drops the names of members that are gone for good.
-    pub fn forget(&mut self, gone: impl Fn(OfficeId) -> bool) {
-        self.names.retain(|_, office| !gone(*office));
+    fn event(complete: bool, members: &[(&str, &str)]) -> String {
+        let member = |(id, phase): &(&str, &str)| serde_json::json!({"id": id, "host_port": "127.0.0.1:9", "cell": 1, "phase": phase});
+        let members: Vec<_> = members.iter().map(member).collect();
+        serde_json::json!({"endpoints": {"complete": complete, "members": members}}).to_string()
+    }
+
+    #[test]
+    fn names_of_replaced_machines_are_given_back_and_a_removal_is_told_once() {
+        let mut roster = Roster::new(Vec::new());
+        let mut seen = std::collections::BTreeSet::new();
+        roster.read(&event(true, &[("s-0", "up")]), true).unwrap();
+        for n in 0..1000 {
+            let (old, new) = (format!("s-{n}"), format!("s-{}", n + 1));
+            let text = event(false, &[(&new, "up"), (&old, "draining"), (&old, "removed")]);
+            let update = roster.read(&text, false).unwrap();
+            let ListNews::Changes(entries) = update.news else { panic!("not a change") };
+            assert_eq!((entries.len(), entries[1].office), (3, entries[2].office));
+            assert!(seen.insert(entries[0].office), "a new machine at an old address is another one");
+            let again = roster.read(&event(false, &[(&old, "removed")]), false).unwrap();
+            assert!(again.places.is_empty());
+            assert_eq!(roster.names.len(), 1);
+        }
+        roster.read(&event(true, &[("s-a", "up"), ("s-b", "up")]), false).unwrap();
+        assert_eq!(roster.names.len(), 2, "what a whole list leaves out is gone too");
     }
 }
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -174,6 +174,24 @@
     quiet_until: Micros,
 }
 
+/// What the list has told of an office.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    /// When it was told to drain, or to be gone.
+    drains: Option<Micros>,
+    gone: bool,
+}
+
+impl Told {
+    fn note(&mut self, now: Micros, state: ListState) {
+        self.drains = match state {
+            ListState::Ready => None,
+            ListState::Draining | ListState::Gone => self.drains.or(Some(now)),
+        };
+        self.gone = state == ListState::Gone;
+    }
+}
+
 impl Entry {
     fn answer(&self, call: CallId, answer: Answer) -> Output {
         let (front, destination) = (self.offer.front, self.offer.ask.destination);
@@ -205,8 +223,8 @@
     release: Micros,
     drain_grace: Micros,
     calls: BTreeMap<CallId, Entry>,
-    /// Offices told to drain or gone, and when that was told; one that was never listed is not here.
-    drains: BTreeMap<OfficeId, Option<Micros>>,
+    /// The offices on the list; nothing is sent to one that is not here.
+    offices: BTreeMap<OfficeId, Told>,
     next: u32,
     out: Vec<Output>,
     tally: Tally,
@@ -222,7 +240,7 @@
             drain_grace: settings.drain_grace,
             controller: Controller::new(settings, seed),
             calls: BTreeMap::new(),
-            drains: BTreeMap::new(),
+            offices: BTreeMap::new(),
             next: 0,
             out: Vec::new(),
             tally: Tally::default(),
@@ -344,17 +362,17 @@
             ListNews::Failed => {}
             ListNews::Changes(entries) => self.note_states(now, entries),
             ListNews::Complete(entries) | ListNews::Cached(entries) => {
-                for (office, told) in &mut self.drains {
+                for (office, told) in &mut self.offices {
                     if !entries.iter().any(|e| e.office == *office) {
-                        told.get_or_insert(now);
+                        told.note(now, ListState::Gone);
                     }
                 }
                 self.note_states(now, entries);
             }
         }
-        // What is long gone and has no call at it needs no more guard: the module knows it no more either.
-        let forgotten = |told: &Option<Micros>| told.is_some_and(|t| now - t > 600_000_000);
-        self.drains.retain(|_, told| !forgotten(told));
+        // Guards memory against machines that are replaced for ever.
+        let grace = self.drain_grace;
+        self.offices.retain(|_, told| !(told.gone && told.drains.is_some_and(|t| now - t > grace)));
         self.drive(now, Event::List(news));
     }
 
@@ -385,6 +403,13 @@
         }
     }
 
+    /// Fails all calls that are still open.
+    pub fn fail_open(&mut self, now: Micros) {
+        let stands = |e: &Entry| matches!(e.stage, Stage::Standing { .. });
+        let open: Vec<CallId> = self.calls.iter().filter(|(_, e)| !stands(e)).map(|(&c, _)| c).collect();
+        open.into_iter().for_each(|call| self.fail(now, call));
+    }
+
     /// What is to be done, in order.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.out)
@@ -429,13 +454,7 @@
 
     fn note_states(&mut self, now: Micros, entries: &[ListEntry]) {
         for e in entries {
-            let told = self.drains.entry(e.office).or_default();
-            match e.state {
-                ListState::Ready => *told = None,
-                ListState::Draining | ListState::Gone => {
-                    told.get_or_insert(now);
-                }
-            }
+            self.offices.entry(e.office).or_default().note(now, e.state);
         }
     }
 
@@ -469,10 +488,10 @@
         };
         let attempt = AttemptNo(entry.attempts);
         entry.attempts = entry.attempts.saturating_add(1);
-        let told = self.drains.get(&office).copied().flatten();
+        let drained = |told: &Told| told.drains.is_some_and(|t| now - t > self.drain_grace);
         let held = if entry.stage != Stage::Deciding {
             Some(HeldBack::SecondAttempt)
-        } else if told.is_some_and(|t| now - t > self.drain_grace) {
+        } else if self.offices.get(&office).is_none_or(drained) {
             Some(HeldBack::Drained)
         } else if now < entry.quiet_until {
             Some(HeldBack::Quiet)
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -504,6 +504,22 @@
     assert!(c.ended());
 }
 
+#[test]
+fn after_sigterm_what_is_open_past_the_longest_deadline_is_answered_and_not_left_to_be_killed() {
+    let l = listener();
+    let mut settings = common::settings();
+    settings["classes"][0]["giveUp"] = json!(600.0);
+    let (mut p, callers, mut x) = start(&[&l], json!({"settings": settings}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(52), 1, 30_000));
+    x[0].about(&sid(52));
+    let before = Instant::now();
+    p.signal("TERM");
+    assert_eq!(c.about(&sid(52))["code"], 41);
+    assert!(before.elapsed() < Duration::from_secs(10), "long before its caller gives up");
+    assert!(p.end().success());
+}
+
 #[test]
 fn a_bad_configuration_is_named_by_its_key_before_anything_listens() {
     for (more, key) in [
