--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -886,9 +886,13 @@
 }
 
 #[test]
-fn a_call_that_met_a_fault_goes_again_at_once_unless_the_office_fails_nearly_all() {
+fn a_call_that_met_a_fault_goes_again_at_once_where_the_office_fails_many_and_not_all() {
     let fault = |id, attempt, at| ended(id, attempt, at, Ending::Fault, Cause::None);
     let mut bed = Bed::new();
+    // A fault by itself is the call's own.
+    bed.call(99, 1);
+    let own = bed.tell(fault(99, 0, 1));
+    assert_eq!((sent(&own).len(), finals(&own)), (0, 1));
     assert_eq!(sent(&bed.call(0, 1)), [office(1)]);
     // At most as many attempts as a call may have, and one answer.
     for attempt in 0..5 {
