--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -19,8 +19,9 @@
 const LUCK_LEAST: f64 = 0.5;
 /// Weight of one turn, or one set-up out long, in such a share.
 const LUCK_SMOOTH: f64 = 0.05;
-/// A call that met a signalling fault goes again at once while the share of the office's set-ups that do lies between
-/// these. Below, the fault is the call's own, and to ask again is work for nothing; above, the office fails all.
+/// A call that met a signalling fault goes again at once while the share of the office's set-ups that do lies
+/// between these. Below, the fault is the call's own, and to ask again is work for nothing; above, the office
+/// fails all.
 const FAULTS_LEAST: f64 = 0.15;
 const FAULTS_MOST: f64 = 0.97;
 /// Weight of one set-up in that share.
@@ -718,8 +719,8 @@
             (Ending::Full, Cause::FarProcessorFull) | (_, Cause::LinesBusy) => false,
             (Ending::NotSent, Cause::NoCircuit) => true,
             (Ending::Full, _) => !direct || self.settings.shape == Shape::Pools,
-            // Danger: an exchange that fails part of its set-ups at once would have each of them refused, and its
-            // caller dial again only after a wait.
+            // Danger: an exchange that fails part of its set-ups at once would have each of them refused, and
+            // its caller dial again only after a wait.
             (Ending::Fault, _) => (FAULTS_LEAST..FAULTS_MOST).contains(&faults) && !call.ask.transit,
             _ => unclear,
         };
