Keep an office that fails many set-ups as a tandem where no other serves

Checked with a trace of each call's attempts: such calls had up to four moots of the full group (both ends take each circuit as it falls free) and then no tandem, as the one there was failed a quarter of its set-ups or more. Ruled out: the contest for circuits itself, which gives one end what it takes from the other; headroom and turns back. At fault: Controller::serves left such an office out even where it was the only one, and a tandem that had answered with a fault was not asked again.

--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -26,7 +26,7 @@
 const FAULTS_MOST: f64 = 0.97;
 /// Weight of one set-up in that share.
 const FAULTS_SMOOTH: f64 = 0.1;
-/// From this share on an office is no tandem.
+/// From this share on an office is a tandem only where no other one serves.
 const FAULTS_TANDEM: f64 = 0.25;
 /// Set-ups that any later one overtook are called off while this share of those out long is lost, not slow.
 const LOST_LEAST: f64 = 0.6;
@@ -493,7 +493,9 @@
         let turn = self.rotor % self.offices.len();
         let mut plain = (turn..self.offices.len()).chain(0..turn);
         let found = if self.luck >= LUCK_LEAST {
-            plain.find(|&i| self.serves(now, i, call))
+            let sound = |&i: &usize| self.offices[i].faults < FAULTS_TANDEM && self.serves(now, i, call);
+            let any = plain.clone();
+            plain.find(sound).or_else(|| any.into_iter().find(|&i| !last && self.serves(now, i, call)))
         } else {
             // Danger: where few plain turns go through, each is work for two processors. Then the turn is
             // over the ways known to be open, and plain only for a first try while none is known.
@@ -525,7 +527,6 @@
             && self.skilled(ask, t.exchange)
             && t.group.is_some_and(|g| g.0 >= self.least_free(ask, g.1) + t.headroom())
             && !call.tried.contains(&i)
-            && t.faults < FAULTS_TANDEM
             && t.leads_to(ask.destination)
             && self.ways.get(&(ask.destination, i)).is_none_or(|w| now >= w.back)
             && self.accepting(now, t)
@@ -749,6 +750,10 @@
         call.ran |= !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent);
         let direct = self.offices[office].exchange == call.ask.destination;
         let faults = self.offices[office].faults;
+        if o.ending == Ending::Fault {
+            // It tells nothing of the way: the same tandem may be asked again.
+            call.tried.retain(|&t| t != office);
+        }
         let again = match (o.ending, o.cause) {
             (Ending::Full, Cause::FarProcessorFull) | (_, Cause::LinesBusy) => false,
             (Ending::NotSent, Cause::NoCircuit) => true,
