Do the module's housekeeping every 20 ms, and keep held calls until 25 ms before their end

At fault: ANSWER_EARLY, 60 ms for the sake of a tick of 50 ms. The tick is 20 ms now, and the margin 25 ms.

--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -57,10 +57,10 @@
 /// A gap between events that shows that this call server stood still: several housekeeping ticks (µs).
 const STALL: Micros = 250_000;
 /// Housekeeping: held calls, releases, list (µs).
-const TICK: Micros = 50_000;
+const TICK: Micros = 20_000;
 /// A held call is ended at the latest this long before its caller gives up (µs). Danger: it is looked at
 /// once in a tick, so that with less than a tick its answer can come after its caller has given up.
-const ANSWER_EARLY: Micros = 60_000;
+const ANSWER_EARLY: Micros = 25_000;
 /// An office is silent when its oldest set-up has been out for this share of the mean aim and it has
 /// answered nothing since.
 const SILENCE: f64 = 0.5;
