--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 build:
 	cargo build --locked --release
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 run: build
 	target/release/walnuthatch --console
 check:
--- /dev/null
+++ b/crates/drains/tests/folder.rs
@@ -0,0 +1,72 @@
+//! The state folder: a kill before each step of a saving, files that are spoilt, and folders that can't be used.
+
+use std::fs;
+use std::path::PathBuf;
+use walnuthatch_drains::folder::{Folder, FolderError, STAGES};
+use walnuthatch_drains::saved::Saved;
+
+fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    drop(fs::remove_dir_all(&path));
+    path
+}
+
+fn saved(next: u64) -> Saved {
+    Saved { next, ..Saved::default() }
+}
+
+#[test]
+fn a_kill_before_any_step_leaves_the_last_saving_or_the_new_one_whole() {
+    for (n, stage) in STAGES.into_iter().enumerate() {
+        let path = folder(&format!("kill-{n}"));
+        let mut f = Folder::at(&path);
+        f.save(&saved(1)).unwrap();
+        f.save(&saved(2)).unwrap();
+        f.save_until(&saved(3), |s| s != stage).unwrap();
+        let mut after = Folder::at(&path);
+        let next = after.load().saved.unwrap().next;
+        assert!(next == 2 || next == 3 && n >= 3, "{stage:?}: {next}");
+        // And it goes on from there.
+        after.save(&saved(9)).unwrap();
+        assert_eq!(Folder::at(&path).load().saved.unwrap().next, 9, "{stage:?}");
+    }
+}
+
+#[test]
+fn a_spoilt_newest_file_gives_way_to_the_last_good_one_and_that_is_said() {
+    let path = folder("spoilt");
+    let mut f = Folder::at(&path);
+    f.save(&saved(1)).unwrap();
+    f.save(&saved(2)).unwrap();
+    let current = path.join("drains.state");
+    let text = fs::read_to_string(&current).unwrap();
+    fs::write(&current, text.replace("next = 2", "next = 7")).unwrap();
+    let loaded = Folder::at(&path).load();
+    assert_eq!(loaded.saved.unwrap().next, 1);
+    assert!(loaded.complaints[0].contains("drains.state: the checksum"), "{:?}", loaded.complaints);
+}
+
+#[test]
+fn a_newer_programs_folder_is_left_as_it_is() {
+    let path = folder("newer");
+    let mut f = Folder::at(&path);
+    f.save(&saved(1)).unwrap();
+    let current = path.join("drains.state");
+    let text = fs::read_to_string(&current).unwrap().replacen(" 1 ", " 2 ", 1);
+    fs::write(&current, &text).unwrap();
+    let mut f = Folder::at(&path);
+    let loaded = f.load();
+    assert!(loaded.saved.is_none() && loaded.complaints[0].contains("version 2"));
+    assert!(matches!(f.save(&saved(5)), Err(FolderError::Newer(_))));
+    assert_eq!(fs::read_to_string(&current).unwrap(), text);
+}
+
+#[test]
+fn a_folder_that_cannot_be_is_an_error_that_names_it() {
+    let path = folder("file");
+    fs::write(&path, "in the way").unwrap();
+    let mut f = Folder::at(&path);
+    assert!(f.load().saved.is_none());
+    let error = f.save(&saved(1)).unwrap_err().to_string();
+    assert!(error.contains("file-"), "{error}");
+}
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -497,7 +497,7 @@
                 Some(agent) if agent.has(office) => agent.clear(now, call, attempt),
                 _ => self.links.clear(now, call, attempt),
             },
-            Output::Answer { front, call, answer, taken, destination } => {
+            Output::Answer { front, call, answer, taken, destination, .. } => {
                 self.span(call, &answer, (taken, now), destination);
                 match &mut self.agent {
                     Some(agent) if front == GATEWAYS => agent.answer(now, call, &answer),
@@ -508,6 +508,7 @@
                 Some(agent) if front == GATEWAYS => agent.release(now, call),
                 _ => self.callers.release(now, call, cut),
             },
+            Output::AttemptEnded { .. } => {}
             Output::Probe(office) => self.links.probe(now, office),
             Output::Tell { to, body } => self.tell_peers(to, body),
             Output::FetchList => self.tasks.push(Task::Refetch),
--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -323,6 +323,8 @@
     stood_still: Micros,
     /// Offices with set-ups out.
     busy: BTreeSet<usize>,
+    /// What operators took out of service.
+    withdrawn: Withdrawn,
 }
 
 impl Controller {
@@ -374,6 +376,10 @@
             }
             Event::Peer { body, .. } => self.on_peer(&body),
             Event::ProbeFailed(_) => {}
+            Event::Withdrawn(w) => {
+                self.withdrawn = w;
+                self.serve_held(now, None, true, out);
+            }
             Event::CallerGone(call) => drop(self.forget(call)),
             Event::Timer(_) => self.on_tick(now, out),
         }
@@ -462,6 +468,10 @@
         let ask = &call.ask;
         let width = f64::from(ask.width);
         let Some(&direct) = self.by_exchange.get(&ask.destination) else { return Route::Closed };
+        // Danger: a call for what will not come back soon would wait, and be refused at its end.
+        if self.withdrawn.all || self.withdrawn.exchanges.contains(&ask.destination) {
+            return Route::Closed;
+        }
         // Danger: while another call server restarts, calls of its subscribers come here, some of them for
         // this exchange. Nothing may be sent to the own one, but a tandem has a group back to it.
         let own = Some(ask.destination) == self.settings.own;
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -1,5 +1,6 @@
 //! The whole interface of the decision module: what a call server tells it and what it answers.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// A moment or a span, in microseconds.
@@ -237,6 +238,18 @@
     pub via: Option<ExchangeNo>,
 }
 
+/// What operators took out of service, in whole. Offices and groups are told as draining and as full besides; this
+/// says that calls need not wait for them.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct Withdrawn {
+    /// Exchanges that no call is for.
+    pub exchanges: BTreeSet<ExchangeNo>,
+    /// Groups that take no new calls, by the exchange at the far end.
+    pub groups: BTreeSet<ExchangeNo>,
+    /// This controller takes no new calls.
+    pub all: bool,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -334,6 +347,8 @@
         /// What it says.
         body: Vec<u8>,
     },
+    /// Operators took this out of service, and nothing else.
+    Withdrawn(Withdrawn),
     /// A timer is due.
     Timer(u64),
 }
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -6,6 +6,7 @@
 
 use super::control::Controller;
 use super::interface::*;
+use super::withdrawals::Withdrawals;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -93,6 +94,19 @@
         taken: Micros,
         /// Where it goes.
         destination: ExchangeNo,
+        /// The office of the last set-up, and how long that was out, if one was sent.
+        last: Option<(OfficeId, Micros)>,
+    },
+    /// A set-up ended without the call's standing; nothing is to be done about it on a wire.
+    AttemptEnded {
+        /// The call.
+        call: CallId,
+        /// Where it went.
+        office: OfficeId,
+        /// How.
+        ending: Ending,
+        /// Why.
+        cause: Cause,
     },
     /// Tell the caller that a call that stood is over.
     Release {
@@ -125,7 +139,7 @@
 pub enum HeldBack {
     /// Another attempt of the call is out, or the call is over.
     SecondAttempt,
-    /// The office drains or is gone, for longer than the grace.
+    /// The office drains or is gone, or the group toward it is withdrawn, for longer than the grace.
     Drained,
     /// The quiet period after an unclear end has not passed.
     Quiet,
@@ -172,6 +186,8 @@
     stage: Stage,
     attempts: u8,
     quiet_until: Micros,
+    /// The office of the last set-up, and how long that was out.
+    last: Option<(OfficeId, Micros)>,
 }
 
 /// What the list has told of an office.
@@ -195,7 +211,7 @@
 impl Entry {
     fn answer(&self, call: CallId, answer: Answer) -> Output {
         let (front, destination) = (self.offer.front, self.offer.ask.destination);
-        Output::Answer { front, call, answer, taken: self.taken, destination }
+        Output::Answer { front, call, answer, taken: self.taken, destination, last: self.last }
     }
 }
 
@@ -225,6 +241,8 @@
     calls: BTreeMap<CallId, Entry>,
     /// The offices on the list; nothing is sent to one that is not here.
     offices: BTreeMap<OfficeId, Told>,
+    /// What operators took out of service.
+    withdrawals: Withdrawals,
     next: u32,
     out: Vec<Output>,
     tally: Tally,
@@ -238,6 +256,7 @@
         Ledger {
             release: settings.release,
             drain_grace: settings.drain_grace,
+            withdrawals: Withdrawals::new(settings.cold),
             controller: Controller::new(settings, seed),
             calls: BTreeMap::new(),
             offices: BTreeMap::new(),
@@ -257,8 +276,15 @@
         offer.ask.call = call;
         let ask = offer.ask.clone();
         let deadline = now.saturating_add(ask.patience.max(0));
-        let entry =
-            Entry { offer, taken: now, deadline, stage: Stage::Deciding, attempts: 0, quiet_until: 0 };
+        let entry = Entry {
+            offer,
+            taken: now,
+            deadline,
+            stage: Stage::Deciding,
+            attempts: 0,
+            quiet_until: 0,
+            last: None,
+        };
         self.calls.insert(call, entry);
         self.tally.offered += 1;
         self.open += 1;
@@ -298,6 +324,7 @@
             return false;
         }
         entry.stage = Stage::Standing { attempt, office, since: now };
+        entry.last = Some((office, now - since));
         let answer = Answer::Stands(text);
         let output = entry.answer(call, answer);
         self.open -= 1;
@@ -335,17 +362,54 @@
                 entry.quiet_until = now + self.release;
             }
             *self.tally.endings.entry(ending_name(ending)).or_default() += 1;
+            entry.last = Some((office, now - since));
+            self.out.push(Output::AttemptEnded { call, office, ending, cause });
         }
         let took = now - since;
+        let report = self.withdrawals.report(now, office, report);
         let outcome = Outcome { call, attempt, office, ending, cause, took, over, report };
         self.drive(now, Event::Ended(outcome));
     }
 
     /// Figures of an office or of the group toward it.
     pub fn group(&mut self, now: Micros, office: OfficeId, report: LoadReport) {
+        let report = self.withdrawals.report(now, office, report);
         self.drive(now, Event::Group { office, report });
     }
 
+    /// Operators took this out of service, and nothing else. Set-ups may go there until the grace is over.
+    pub fn withdraw(&mut self, now: Micros, withdrawn: Withdrawn) {
+        let changes = self.withdrawals.set(now, withdrawn.clone());
+        if !changes.entries.is_empty() {
+            self.note_states(now, &changes.entries);
+            self.drive(now, Event::List(ListNews::Changes(changes.entries.into())));
+        }
+        for (office, report) in changes.groups {
+            self.drive(now, Event::Group { office, report });
+        }
+        self.drive(now, Event::Withdrawn(withdrawn));
+    }
+
+    /// Brings groups that were withdrawn back little by little; to be called now and then.
+    pub fn reopen(&mut self, now: Micros) {
+        for (office, report) in self.withdrawals.reopening(now) {
+            self.drive(now, Event::Group { office, report });
+        }
+    }
+
+    /// Releases the calls that stand and that `which` picks, towards both sides.
+    pub fn cut(&mut self, now: Micros, which: impl Fn(OfficeId) -> bool) {
+        let of = |(&call, e): (&CallId, &Entry)| match e.stage {
+            Stage::Standing { attempt, office, .. } if which(office) => Some((call, attempt, office)),
+            _ => None,
+        };
+        let found: Vec<_> = self.calls.iter().filter_map(of).collect();
+        for (call, attempt, office) in found {
+            self.out.push(Output::Clear { call, attempt, office });
+            self.ended(now, call, attempt, (Ending::Reset, Cause::None), LoadReport::default());
+        }
+    }
+
     /// A probe got no good answer.
     pub fn probe_failed(&mut self, now: Micros, office: OfficeId) {
         self.drive(now, Event::ProbeFailed(office));
@@ -358,6 +422,7 @@
 
     /// News of the list of offices.
     pub fn list(&mut self, now: Micros, news: ListNews) {
+        let news = self.withdrawals.list(news);
         match &news {
             ListNews::Failed => {}
             ListNews::Changes(entries) => self.note_states(now, entries),
@@ -437,6 +502,24 @@
         &self.tally
     }
 
+    /// What operators took out of service, and the list and groups that it lies over.
+    pub fn withdrawals(&self) -> &Withdrawals {
+        &self.withdrawals
+    }
+
+    /// Set-ups that are out and calls that stand, by office.
+    pub fn loads(&self) -> BTreeMap<OfficeId, (u32, u32)> {
+        let mut loads: BTreeMap<OfficeId, (u32, u32)> = BTreeMap::new();
+        for e in self.calls.values() {
+            match e.stage {
+                Stage::Out { office, .. } => loads.entry(office).or_default().0 += 1,
+                Stage::Standing { office, .. } => loads.entry(office).or_default().1 += 1,
+                Stage::Deciding => {}
+            }
+        }
+        loads
+    }
+
     /// The calls held, oldest first.
     pub fn views(&self) -> impl Iterator<Item = CallView> + '_ {
         self.calls.iter().map(|(&call, e)| {
@@ -488,7 +571,10 @@
         };
         let attempt = AttemptNo(entry.attempts);
         entry.attempts = entry.attempts.saturating_add(1);
-        let drained = |told: &Told| told.drains.is_some_and(|t| now - t > self.drain_grace);
+        let shut = self.withdrawals.shut_since(office);
+        let drained = |told: &Told| {
+            told.drains.into_iter().chain(shut).min().is_some_and(|t| now - t > self.drain_grace)
+        };
         let held = if entry.stage != Stage::Deciding {
             Some(HeldBack::SecondAttempt)
         } else if self.offices.get(&office).is_none_or(drained) {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,3 +5,4 @@
 pub mod deadlines;
 pub mod interface;
 pub mod ledger;
+pub mod withdrawals;
