--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -215,6 +215,11 @@
     },
     /// Something happened.
     Event(Event),
+    /// What happened, oldest first.
+    Events {
+        /// The last ones.
+        events: Vec<Event>,
+    },
 }
 
 /// A message to an operator's program.
--- a/crates/drains/src/book.rs
+++ b/crates/drains/src/book.rs
@@ -280,6 +280,11 @@
         self.unsaved
     }
 
+    /// Whether a window's drain was turned down at the last try.
+    pub fn denied(&self, window: &str) -> bool {
+        self.retry.contains_key(window)
+    }
+
     /// What is out of service.
     pub fn withdrawn(&self) -> &Withdrawn {
         &self.applied
@@ -436,6 +441,7 @@
                 Ok(text) => {
                     self.next += 1;
                     self.begun.insert(w.name.clone(), start);
+                    self.retry.remove(&w.name);
                     self.note(now, &ask, &command, &answer);
                     self.save(now);
                     let (saving, since) = (self.saving, now.steady);
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match walnuthatch::program::run::main(std::env::args().skip(1)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("walnuthatch: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    walnuthatch::program::cli::main(std::env::args_os())
 }
--- /dev/null
+++ b/src/program/alarms.rs
@@ -0,0 +1,93 @@
+//! What is looked at each second, and from which value on it is an alarm.
+
+use super::appliance_file::AlarmMarks;
+use super::views::Scene;
+use crate::routing::interface::Micros;
+use walnuthatch_drains::book::Book;
+use walnuthatch_drains::drain::State;
+use walnuthatch_figures::alarms::{Key, Rule, Severity};
+use walnuthatch_figures::service::Service;
+
+/// When alarms are raised.
+pub type Marks = AlarmMarks;
+
+/// With fewer calls than this in its window a share says nothing.
+const FEW: u32 = 20;
+
+/// A value to be looked at.
+pub struct Look {
+    /// What it is of.
+    pub key: Key,
+    /// The value.
+    pub value: f64,
+    /// How it is judged.
+    pub rule: Rule,
+    /// What an alarm would say.
+    pub text: String,
+}
+
+/// All values as they are now.
+pub fn looks(marks: &Marks, scene: &Scene<'_>, service: &Service, book: &Book, wall: Micros) -> Vec<Look> {
+    let mut out = Vec::new();
+    let rule = |raise: f64, clear: f64, severity| Rule {
+        raise,
+        clear,
+        hold: marks.hold,
+        calm: marks.calm,
+        severity,
+    };
+    // A state that is so or not; the holds are for values that swing.
+    let at_once = |severity| Rule { raise: 1.0, clear: 0.0, hold: 0, calm: 0, severity };
+    let mut add = |kind, subject: String, value: f64, rule, text: String| {
+        out.push(Look { key: Key { kind, subject }, value, rule, text });
+    };
+    let [short, minute, _] = service.windows();
+    let missed = minute.in_aim().filter(|_| minute.answered() >= FEW).map_or(0.0, |share| 1.0 - share);
+    let mark = 1.0 - marks.in_aim_under;
+    let text = format!("{:.0}% of the last minute's calls stand within the aim", (1.0 - missed) * 100.0);
+    add("service", String::new(), missed, rule(mark.max(0.001), mark * 0.7, Severity::Critical), text);
+    let refused = match short.answered() {
+        n if n >= FEW => f64::from(short.refused()) / f64::from(n),
+        _ => 0.0,
+    };
+    let text = format!("{:.0}% of the last 10 s's calls are refused", refused * 100.0);
+    let mark = marks.refused_over.max(0.001);
+    add("refusals", String::new(), refused, rule(mark, mark * 0.7, Severity::Warning), text);
+    for e in scene.exchanges() {
+        let name = format!("exchange:{}", e.exchange);
+        if e.listed == "ready" {
+            // Without a connection figures grow old too, but one that never told any has no age.
+            let age = e.report_age_ms.map(|ms| ms as f64 * 1000.0);
+            let quiet = if e.connected { 0.0 } else { age.unwrap_or((scene.now - scene.born) as f64) };
+            let text = format!("no connection to {} at {} for {:.0} s", e.member, e.address, quiet / 1e6);
+            let silent = Rule { hold: 0, ..rule(marks.silent as f64, 0.0, Severity::Critical) };
+            add("unreachable", format!("{name} {}", e.member), quiet, silent, text);
+        }
+        if let (Some(free), Some(size)) = (e.free, e.size.filter(|s| *s >= 1.0)) {
+            let busy = 1.0 - free.max(0.0) / size;
+            let text = format!("{:.0} of {size:.0} circuits are busy", size - free.max(0.0));
+            let mark = marks.busy_over;
+            add(
+                "group",
+                format!("{name} {}", e.member),
+                busy,
+                rule(mark, mark * 0.95, Severity::Warning),
+                text,
+            );
+        }
+    }
+    for d in book.drains() {
+        let stuck = matches!(d.state, State::Failed | State::Expired);
+        let text = format!("{}: {} calls still stand there", d.state.name(), d.load.standing);
+        add("drain", d.target.to_string(), f64::from(u8::from(stuck)), at_once(Severity::Warning), text);
+    }
+    for w in book.windows() {
+        let begun = book.drains().iter().any(|d| d.window.as_ref().is_some_and(|x| x.0 == w.name));
+        let denied = w.open_at(wall).is_some() && !begun && book.denied(&w.name);
+        let text = "it is open, and its drain was turned down: see the events".to_owned();
+        add("window", w.name.clone(), f64::from(u8::from(denied)), at_once(Severity::Warning), text);
+    }
+    let text = "drains that are in force would not survive a restart".to_owned();
+    add("unsaved", String::new(), f64::from(u8::from(book.unsaved())), at_once(Severity::Warning), text);
+    out
+}
--- a/src/program/clock.rs
+++ b/src/program/clock.rs
@@ -23,6 +23,12 @@
         self.unix + micros(self.start.elapsed())
     }
 
+    /// How far the system's clock is ahead of this one, which it was level with at the start.
+    pub fn wall_ahead(&self) -> Micros {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        micros(unix) - self.now()
+    }
+
     /// When that time is, for a timer.
     pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros((at - self.unix).max(0) as u64)
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given its defaults. Every error names the key.
 
+use super::appliance_file::{self, ApplianceConfig, Fault, LogFormat};
 use crate::protocol::mgcp::agent::{AgentConfig, AnsweredBy, Gateway};
 use crate::protocol::{simulator, text_settings};
 use crate::routing::interface::{ExchangeNo, Micros, Settings};
@@ -32,54 +33,54 @@
         /// What is wrong.
         why: String,
     },
-    /// An argument is not known.
-    #[error("argument {0:?}: not known; see --help")]
-    Argument(String),
+    /// The appliance's file has these faults.
+    #[error("{} in the appliance's file\n{}", count(.0.len()), lines(.0))]
+    Appliance(Vec<Fault>),
+}
+
+fn count(n: usize) -> String {
+    if n == 1 {
+        "a fault".to_owned()
+    } else {
+        format!("{n} faults")
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
 
 fn bad(key: &str, why: impl ToString) -> ConfigError {
     ConfigError::Bad { key: key.to_owned(), why: why.to_string() }
 }
 
-/// What the command line says.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// What the command line says of how to serve.
+#[derive(Clone, Debug, Default, PartialEq, clap::Args)]
 pub struct Arguments {
-    /// Read line commands from standard input.
+    /// Read line commands from standard input
+    #[arg(long)]
     pub console: bool,
-    /// The configuration file, in place of `ROUTER_CONFIG`.
+    /// The configuration, in place of the file that ROUTER_CONFIG names
+    #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
-    /// The gateways' file, in place of `deploy/mgcp.toml`.
+    /// The gateways' file, in place of deploy/mgcp.toml
+    #[arg(long, value_name = "FILE")]
     pub mgcp: Option<PathBuf>,
-    /// The exporter's file, in place of `deploy/telemetry.toml`.
+    /// The exporter's file, in place of deploy/telemetry.toml
+    #[arg(long, value_name = "FILE")]
     pub telemetry: Option<PathBuf>,
-    /// Only check the configuration.
+    /// The appliance's file, in place of deploy/appliance.toml
+    #[arg(long, value_name = "FILE")]
+    pub appliance: Option<PathBuf>,
+    /// What is logged, as info,walnuthatch::drains=debug; goes before WALNUTHATCH_LOG and the appliance's file
+    #[arg(long, value_name = "FILTER")]
+    pub log: Option<String>,
+    /// How it is logged
+    #[arg(long, value_enum, value_name = "FORMAT")]
+    pub log_format: Option<LogFormat>,
+    /// Only check the configuration
+    #[arg(long)]
     pub check: bool,
-    /// Print the help and end.
-    pub help: bool,
-}
-
-/// Reads the command line, without the program's name.
-pub fn arguments(words: impl Iterator<Item = String>) -> Result<Arguments, ConfigError> {
-    let mut out = Arguments::default();
-    let mut words = words;
-    while let Some(word) = words.next() {
-        match word.as_str() {
-            "--console" => out.console = true,
-            "--check" => out.check = true,
-            "--help" | "-h" => out.help = true,
-            "--config" | "--mgcp" | "--telemetry" => {
-                let path = words.next().ok_or_else(|| ConfigError::Missing(format!("{word} FILE")))?;
-                let place = match word.as_str() {
-                    "--config" => &mut out.config,
-                    "--mgcp" => &mut out.mgcp,
-                    _ => &mut out.telemetry,
-                };
-                *place = Some(path.into());
-            }
-            _ => return Err(ConfigError::Argument(word)),
-        }
-    }
-    Ok(out)
 }
 
 /// Everything that the program is told before it starts.
@@ -117,6 +118,8 @@
     pub mgcp: Option<MgcpConfig>,
     /// The exporter, if it is on.
     pub telemetry: Option<TelemetryConfig>,
+    /// The appliance, if it is on.
+    pub appliance: Option<ApplianceConfig>,
 }
 
 /// The exporter of metrics and spans.
@@ -146,10 +149,24 @@
 
 /// Reads the configuration: the file, then the environment's name and address where the file has none.
 pub fn load(arguments: &Arguments, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let named = arguments.appliance.as_deref();
+    let appliance = match optional("appliance.toml", named, appliance_file::FILE)? {
+        Some(text) => {
+            let file = named.unwrap_or(Path::new(appliance_file::FILE)).display().to_string();
+            appliance_file::read(&file, &text).map_err(ConfigError::Appliance)?
+        }
+        None => None,
+    };
     let path = arguments.config.clone().or_else(|| env("ROUTER_CONFIG").map(PathBuf::from));
-    let path = path.ok_or_else(|| ConfigError::Missing("ROUTER_CONFIG".to_owned()))?;
-    let text = read("ROUTER_CONFIG", &path)?;
-    let mut json: Value = serde_json::from_str(&text).map_err(|e| bad("ROUTER_CONFIG", e))?;
+    let site = appliance.as_ref().and_then(|a| a.platform.clone());
+    let mut json: Value = match (path, site) {
+        (Some(path), _) => {
+            let text = read("ROUTER_CONFIG", &path)?;
+            serde_json::from_str(&text).map_err(|e| bad("ROUTER_CONFIG", e))?
+        }
+        (None, Some(site)) => site,
+        (None, None) => return Err(ConfigError::Missing("ROUTER_CONFIG".to_owned())),
+    };
     for (key, variable) in [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN")] {
         if let (Some(object), Some(value)) = (json.as_object_mut(), env(variable)) {
             object.entry(key).or_insert(Value::String(value));
@@ -162,9 +179,29 @@
     if let Some(text) = optional(TELEMETRY_FILE, arguments.telemetry.as_deref(), TELEMETRY_FILE)? {
         config.telemetry = telemetry(&text)?;
     }
+    if let Some(a) = appliance {
+        join(&mut config, a, named)?;
+    }
     Ok(config)
 }
 
+/// Brings what the appliance's file says together with the rest.
+fn join(config: &mut Config, a: ApplianceConfig, named: Option<&Path>) -> Result<(), ConfigError> {
+    if let Some(list) = &a.list {
+        if config.coordinator.is_some() || !config.known.is_empty() {
+            return Err(bad("appliance.exchange", "a coordinator tells of the exchanges already"));
+        }
+        config.known = vec![list.clone()];
+    }
+    if let Some(m) = &mut config.mgcp {
+        let file = named.unwrap_or(Path::new(appliance_file::FILE)).display().to_string();
+        appliance_file::against_gateways(&file, &a, m).map_err(ConfigError::Appliance)?;
+        m.agent.routes.extend(a.prefixes.iter().cloned());
+    }
+    config.appliance = Some(a);
+    Ok(())
+}
+
 /// The text of a file that need not be there unless it was named.
 fn optional(key: &'static str, named: Option<&Path>, usual: &str) -> Result<Option<String>, ConfigError> {
     match named {
@@ -318,6 +355,10 @@
             ("settings.limits.connectTimeout", self.connect_timeout == new.connect_timeout),
             ("mgcp", self.mgcp == new.mgcp),
             ("telemetry", self.telemetry == new.telemetry),
+            ("appliance.enabled", self.appliance.is_some() == new.appliance.is_some()),
+            ("appliance.control", self.of_appliance(|a| &a.socket) == new.of_appliance(|a| &a.socket)),
+            ("appliance.state", self.of_appliance(|a| &a.folder) == new.of_appliance(|a| &a.folder)),
+            ("appliance.exchange", self.of_appliance(|a| &a.list) == new.of_appliance(|a| &a.list)),
         ];
         same.into_iter().filter(|s| !s.1).map(|s| s.0).collect()
     }
@@ -327,6 +368,17 @@
         self.coordinator = new.coordinator;
         self.peers = new.peers;
         self.peers_all = new.peers_all;
+        if let (Some(old), Some(new)) = (&mut self.appliance, new.appliance) {
+            old.policy = new.policy;
+            old.windows = new.windows;
+            old.alarms = new.alarms;
+            old.links = new.links;
+            old.log_filter = new.log_filter;
+        }
+    }
+
+    fn of_appliance<T>(&self, what: impl Fn(&ApplianceConfig) -> &T) -> Option<&T> {
+        self.appliance.as_ref().map(what)
     }
 
     /// What the program was told, in lines.
@@ -339,9 +391,19 @@
         let export = self.telemetry.as_ref().map_or("off".to_owned(), |t| {
             format!("to {} every {} ms, spans {}", t.collector, t.interval / 1000, t.spans)
         });
+        let appliance = self.appliance.as_ref().map_or("off".to_owned(), |a| {
+            let path =
+                |p: &Option<PathBuf>| p.as_ref().map_or("none".to_owned(), |p| p.display().to_string());
+            format!(
+                "control socket {}, state folder {}, {} windows",
+                path(&a.socket),
+                path(&a.folder),
+                a.windows.len()
+            )
+        });
         format!(
             "name {}\nlisten {}\ncoordinator {}\npeers {}, listening at {}\nclasses {}\nsockets {}\n\
-             gateways {gateways}\ntelemetry {export}\n",
+             gateways {gateways}\ntelemetry {export}\nappliance {appliance}\n",
             self.name,
             self.listen,
             place(&self.coordinator),
@@ -434,6 +496,7 @@
         connect_timeout: (connect_timeout * 1000.0) as Micros,
         mgcp: None,
         telemetry: None,
+        appliance: None,
     })
 }
 
@@ -498,13 +561,4 @@
             assert!(telemetry(text).unwrap_err().to_string().starts_with(key), "{text}");
         }
     }
-
-    #[test]
-    fn arguments_are_read_and_unknown_ones_named() {
-        let read = |line: &str| arguments(line.split_whitespace().map(str::to_owned));
-        let got = read("--console --mgcp m.toml --check").unwrap();
-        assert!(got.console && got.check && got.mgcp == Some("m.toml".into()));
-        assert!(read("--consol").unwrap_err().to_string().contains("--consol"));
-        assert!(read("--config").unwrap_err().to_string().contains("--config FILE"));
-    }
 }
--- a/src/program/console.rs
+++ b/src/program/console.rs
@@ -1,8 +1,7 @@
-//! The operator's line commands. The answers are only texts; a thread of their own writes them, so that a
-//! terminal that stands still stops nothing.
+//! The line commands on standard input. The answers are only texts; a thread of their own writes them, so that a
+//! terminal that stands still stops nothing. The full-screen console speaks through the control socket instead.
 
-use super::switchboard::Switchboard;
-use crate::routing::interface::Micros;
+use super::views::{call_line, Scene};
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Read, Write};
 
@@ -23,48 +22,70 @@
 quit       stop, once all calls that were taken have their answer
 ";
 
-/// Carries out a command and gives what is to be printed.
-pub fn run(board: &mut Switchboard, now: Micros, line: &str) -> String {
+/// What a command does besides printing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Fail the platform's tests, or no longer.
+    Drain(bool),
+    /// Stop.
+    Stop,
+}
+
+/// Reads a command: what is to be printed, and what is to be done.
+pub fn run(scene: &Scene<'_>, line: &str) -> (String, Option<Act>) {
     let mut words = line.split_whitespace();
-    let mut out = String::new();
+    let (mut out, mut act) = (String::new(), None);
     // Writing to a string can't fail.
     match (words.next(), words.next()) {
         (None, _) => {}
         (Some("help"), None) => out.push_str(HELP),
-        (Some("status"), None) => out = board.status(now),
+        (Some("status"), None) => {
+            let s = scene.status();
+            let _ = write!(
+                out,
+                "state {}, up {} s\ncalls.open {}\ncalls.standing {}\nconnections {}\ndeadlines {}\n",
+                s.state, s.up_s, s.open, s.standing, s.connections, s.deadlines
+            );
+        }
         (Some("exchanges"), None) => {
-            for e in board.exchanges() {
-                let _ = writeln!(out, "{e}");
+            for e in scene.exchanges() {
+                let line = if e.connected { "connected" } else { "not connected" };
+                let (free, size) = (e.free.unwrap_or(-1.0), e.size.unwrap_or(-1.0));
+                let _ = writeln!(
+                    out,
+                    "exchange {} ({}) at {}: {}, {line}, {free} of {size} circuits free",
+                    e.exchange, e.member, e.address, e.listed
+                );
             }
         }
         (Some("calls"), None) => {
-            let calls = board.call_lines(now);
-            for c in calls.iter().take(CALLS) {
-                let _ = writeln!(out, "{c}");
+            let (calls, total) = scene.calls("", CALLS);
+            for c in &calls {
+                let _ = writeln!(out, "{}", call_line(c));
             }
-            if calls.len() > CALLS {
-                let _ = writeln!(out, "and {} more", calls.len() - CALLS);
+            if total > calls.len() {
+                let _ = writeln!(out, "and {} more", total - calls.len());
             }
         }
         (Some("counters"), None) => {
-            for (name, value) in board.counters() {
+            for (name, value) in (scene.counters)() {
                 let _ = writeln!(out, "{name:28} {value}");
             }
         }
-        (Some("config"), None) => out = board.told(),
+        (Some("config"), None) => out = scene.config.summary(),
         (Some("drain"), word @ (None | Some("off"))) => {
-            board.drain(word.is_none());
+            act = Some(Act::Drain(word.is_none()));
             out = format!("tests {}\n", if word.is_none() { "fail from now on" } else { "pass again" });
         }
         (Some("quit"), None) => {
-            board.stop(now);
+            act = Some(Act::Stop);
             out.push_str("stopping\n");
         }
         (Some(other), _) => {
             let _ = writeln!(out, "{other:?} is no command, or not in this form; 'help' lists them");
         }
     }
-    out
+    (out, act)
 }
 
 /// Reads commands from standard input in a thread of its own. Its end harms nothing: no more commands come.
@@ -88,17 +109,9 @@
 
 /// Prints answers in a thread of its own.
 pub fn print() -> async_channel::Sender<String> {
-    writer(io::stdout())
-}
-
-/// Writes the log in a thread of its own: whoever reads standard error may stand still.
-pub fn log() -> async_channel::Sender<String> {
-    writer(io::stderr())
-}
-
-fn writer(mut out: impl Write + Send + 'static) -> async_channel::Sender<String> {
     let (texts, queue) = async_channel::bounded::<String>(WAITING);
     std::thread::spawn(move || {
+        let mut out = io::stdout();
         while let Ok(text) = queue.recv_blocking() {
             if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
                 return;
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -1,9 +1,16 @@
-//! The program: configuration, the task that owns routing, counters and shutdown.
+//! The program: command line, configuration, the task that owns routing, what operators see, and shutdown.
 
+pub mod alarms;
+pub mod appliance;
+pub mod appliance_file;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod console;
 pub mod counters;
+pub mod ctl;
+pub mod log;
 pub mod run;
 pub mod switchboard;
 pub mod telemetry;
+pub mod views;
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -2,12 +2,15 @@
 
 use super::clock::Clock;
 use super::config::{self, Arguments, Config, ConfigError};
+use super::log::{self, BadFilter, Log};
 use super::switchboard::{Switchboard, Task};
 use super::{console, counters, telemetry};
 use crate::protocol::mgcp::message;
 use crate::protocol::otlp::{Encoder, Snapshot};
 use crate::routing::interface::Micros;
+use crate::transport::control::{self, ControlError};
 use crate::transport::coordinator::{self, Wish};
+use crate::transport::saver::{self, Saving};
 use crate::transport::{datagrams, signals, streams, Inbound};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -16,6 +19,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use walnuthatch_drains::folder::{Folder, Loaded};
 
 /// News that may wait for the task that owns routing; socket tasks wait when it is full.
 const INBOX: usize = 1024;
@@ -30,20 +34,18 @@
 /// The longest message between peers.
 const PEER_LONGEST: usize = 256;
 
-const HELP: &str = "walnuthatch: a session controller for the trunk groups between small exchanges
-usage: walnuthatch [--config FILE] [--mgcp FILE] [--telemetry FILE] [--console] [--check]
-  --config FILE  the configuration, in place of the file that ROUTER_CONFIG names
-  --mgcp FILE    the gateways' file, in place of deploy/mgcp.toml
-  --telemetry FILE  the exporter's file, in place of deploy/telemetry.toml
-  --console      read line commands from standard input
-  --check        check the configuration and end";
-
 /// Why the program ended with an error.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
     /// The configuration is not usable.
     #[error("configuration: {0}")]
     Config(#[from] ConfigError),
+    /// The log's filter is not usable.
+    #[error("{0}")]
+    Log(#[from] BadFilter),
+    /// There is no control socket.
+    #[error("control.socket: {0}")]
+    Control(#[from] ControlError),
     /// An address can't be listened on.
     #[error("{key}: cannot listen on {address}: {why}")]
     Listen {
@@ -56,23 +58,27 @@
     },
 }
 
-/// Runs the program with this command line to its end.
-pub fn main(words: impl Iterator<Item = String>) -> Result<(), RunError> {
-    let arguments = config::arguments(words)?;
-    if arguments.help {
-        println!("{HELP}");
-        return Ok(());
-    }
+/// Serves with these arguments until it is asked to stop.
+///
+/// # Errors
+/// If the configuration is faulty, or an address, the control socket or the log can't be had.
+pub fn main(arguments: Arguments) -> Result<(), RunError> {
     let config = config::load(&arguments, environment)?;
-    if arguments.check {
-        println!("the configuration of {} is good", config.name);
-        return Ok(());
-    }
+    let told = config.appliance.as_ref();
+    let filter = arguments.log.clone().or_else(|| environment(log::VARIABLE));
+    let filter = filter.or_else(|| told.and_then(|a| a.log_filter.clone()));
+    let format = arguments.log_format.or_else(|| told.and_then(|a| a.log_format)).unwrap_or_default();
+    let log = Rc::new(Log::start(filter.as_deref(), format)?);
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(config, arguments, executor.clone())))
+    let served = serve(config, arguments, executor.clone(), log.clone());
+    let ended = async_io::block_on(executor.run(served));
+    // What waits to be written is written before the program ends.
+    drop(log);
+    ended
 }
 
-fn environment(name: &str) -> Option<String> {
+/// A variable of the environment, if it is there and is text.
+pub fn environment(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
 
@@ -80,6 +86,7 @@
     config: Config,
     arguments: Arguments,
     executor: Rc<LocalExecutor<'static>>,
+    log: Rc<Log>,
 ) -> Result<(), RunError> {
     let (clock, commands) = (Clock::start(), arguments.console);
     let listen = |key, address| move |why| RunError::Listen { key, address, why };
@@ -88,7 +95,7 @@
     // With port 0 this is the only way to learn where it listens.
     let said = |what: &str, at: io::Result<SocketAddr>| {
         if let Ok(at) = at {
-            eprintln!("walnuthatch: {what} at {at}");
+            tracing::info!("{what} at {at}");
         }
     };
     said("callers", listener.get_ref().local_addr());
@@ -108,7 +115,7 @@
     }
     match signals::catch() {
         Ok(caught) => executor.spawn(signals::watch(caught, inbox.clone())).detach(),
-        Err(e) => eprintln!("walnuthatch: signals: {e}"),
+        Err(e) => tracing::error!("signals: {e}"),
     }
     let (coordinator, wishes) = bounded(1);
     let feed = coordinator::follow(config.coordinator, config.known_index, wishes, inbox.clone());
@@ -126,17 +133,37 @@
         };
         executor.spawn(pass_on).detach();
     }
-    let board = Switchboard::new(&config, clock.now());
+    let (mut saved, mut savings) = (None, None);
+    let told = config.appliance.as_ref();
+    if let Some(path) = told.and_then(|a| a.folder.clone()) {
+        let mut folder = Folder::at(path);
+        let Loaded { saved: found, complaints } = folder.load();
+        complaints.iter().for_each(|why| tracing::warn!("state folder: {why}"));
+        saved = found;
+        let (queue, told) = saver::start(folder);
+        executor.spawn(saver::pass_on(told, inbox.clone())).detach();
+        savings = Some(queue);
+    }
+    let board = Switchboard::resume(&config, clock.now(), saved, Some(log));
+    let mut control = None;
+    if let Some(path) = told.and_then(|a| a.socket.as_deref()) {
+        let socket = Rc::new(control::bind(path)?);
+        control = Some(socket.clone());
+        tracing::info!("control socket at {}", path.display());
+        executor.spawn(control::listen(socket, executor.clone(), inbox.clone())).detach();
+    }
     let (snapshots, snapshot_queue) = bounded(SNAPSHOTS);
     if let Some(t) = &config.telemetry {
         let encoder = Encoder::new(config.name.clone(), clock.now(), config.seed);
         executor.spawn(telemetry::export(t.collector, encoder, snapshot_queue, board.exported())).detach();
     }
     let answers = commands.then(console::print);
-    let log = console::log();
-    let out = Outlets { inbox, peers, gateways, snapshots, coordinator, answers, log, arguments };
+    let out = Outlets { inbox, peers, gateways, snapshots, coordinator, answers, savings, arguments };
     let board = route(board, clock, news, out, &executor).await;
-    eprintln!("walnuthatch: {}: {}", config.name, counters::line(&board.counters()));
+    if let Some(socket) = control {
+        socket.remove();
+    }
+    tracing::info!("{}: {}", config.name, counters::line(&board.counters()));
     Ok(())
 }
 
@@ -148,7 +175,8 @@
     snapshots: Sender<Snapshot>,
     coordinator: Sender<Wish>,
     answers: Option<Sender<String>>,
-    log: Sender<String>,
+    /// The newest state takes the place of one that waits.
+    savings: Option<Sender<Saving>>,
     /// Where the configuration came from, and comes from again.
     arguments: Arguments,
 }
@@ -164,7 +192,7 @@
             Task::Gateway(to, body) => drop(self.gateways.try_send((to, body))),
             Task::Export(snapshot) => drop(self.snapshots.try_send(snapshot)),
             Task::Print(text) => drop(self.answers.as_ref().map(|a| a.try_send(text))),
-            Task::Log(line) => drop(self.log.try_send(format!("walnuthatch: {line}\n"))),
+            Task::Save(saving) => drop(self.savings.as_ref().map(|s| s.force_send(saving))),
             // A wish that waits already will do: one for another address brings what is new there.
             Task::Refetch => drop(self.coordinator.try_send(Wish::WholeList)),
             // Guards against following an address that is no more: the newest one takes the place of any wish.
@@ -186,6 +214,7 @@
             out.carry_out(task, executor);
         }
         let first = wait(&clock, board.next_deadline(), &news).await;
+        board.note_wall(clock.wall_ahead());
         let more = std::iter::from_fn(|| news.try_recv().ok()).take(TURN);
         for item in first.into_iter().chain(more) {
             match item {
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -1,9 +1,11 @@
 //! The one task's state: it owns the ledger with the decision module in it, the fronts, the links and every
 //! deadline. News comes in, [`Switchboard::turn`] settles it, and lines go to the connections' outboxes.
 
+use super::appliance::Appliance;
 use super::config::{Config, ConfigError};
 use super::console;
 use super::counters::{self, WireCounts};
+use super::log;
 use super::telemetry::ExportCounts;
 use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
 use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
@@ -13,15 +15,20 @@
 use crate::protocol::otlp::{CallSpan, Snapshot};
 use crate::protocol::ConnId;
 use crate::routing::deadlines::Deadlines;
-use crate::routing::interface::{CallId, ExchangeNo, ListEntry, ListNews, LoadReport, Micros, PeerNo};
-use crate::routing::ledger::{Answer, CallView, FrontId, Ledger, LedgerDue, Output};
+use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
+use crate::routing::ledger::{FrontId, Ledger, LedgerDue, Output};
 use crate::transport::outbox::Outbox;
+use crate::transport::saver::Saving;
 use crate::transport::{ConnNews, Inbound, Side};
 use serde_json::Value;
 use std::collections::HashMap;
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use walnuthatch_drains::saved::Saved;
+use walnuthatch_drains::target::Now;
+
+mod exports;
+mod operators;
 
 /// The platform's front.
 pub const LINES: FrontId = FrontId(0);
@@ -54,6 +61,8 @@
     Agent(AgentDue),
     /// Hand the figures to the exporter.
     Export,
+    /// The appliance's.
+    Appliance,
     /// Look whether the program may end.
     Stop,
     /// The program stops, and answers what it still owes.
@@ -73,8 +82,8 @@
     Export(Snapshot),
     /// Print the answer to a command.
     Print(String),
-    /// Write a line to the log.
-    Log(String),
+    /// Write the state that survives.
+    Save(Saving),
     /// Ask the coordinator anew.
     Refetch,
     /// Follow the coordinator at this address from now on.
@@ -88,6 +97,7 @@
     callers: Callers,
     links: Links,
     agent: Option<Agent>,
+    appliance: Option<Appliance>,
     roster: Roster,
     deadlines: Deadlines<Due>,
     outboxes: HashMap<(Side, ConnId), Outbox>,
@@ -99,6 +109,10 @@
     stopping: Option<Micros>,
     /// The operator wants no new calls.
     draining: bool,
+    /// How far the wall's clock is ahead of the program's.
+    wall_ahead: Micros,
+    /// The aim of each class.
+    aims: Vec<Micros>,
     spans: Vec<CallSpan>,
     exported: Rc<ExportCounts>,
     minted: u64,
@@ -107,11 +121,22 @@
 impl Switchboard {
     /// The state at the start, with the list as it was last known.
     pub fn new(config: &Config, now: Micros) -> Self {
+        Switchboard::resume(config, now, None, None)
+    }
+
+    /// The state at the start, with what an earlier life of the program saved.
+    pub fn resume(config: &Config, now: Micros, saved: Option<Saved>, log: Option<Rc<log::Log>>) -> Self {
+        let s = &config.settings;
+        let appliance = config
+            .appliance
+            .as_ref()
+            .map(|a| Appliance::new(Now::new(now, now), a, s.own, s.drain_grace, saved, log));
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
             callers: Callers::new(now, LINES, config.classes.clone(), config.usual_callers()),
             links: Links::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
+            appliance,
             roster: Roster::new(config.zones.clone()),
             deadlines: Deadlines::default(),
             outboxes: HashMap::new(),
@@ -121,6 +146,8 @@
             born: now,
             stopping: None,
             draining: false,
+            wall_ahead: 0,
+            aims: config.settings.classes.iter().map(|c| c.aim).collect(),
             spans: Vec::new(),
             exported: Rc::default(),
             minted: config.seed,
@@ -150,7 +177,7 @@
             Inbound::Stream(Ok(())) => {}
             Inbound::Stream(Err(why)) => {
                 self.counts.stream_losses += 1;
-                self.tasks.push(Task::Log(format!("coordinator: {why}")));
+                tracing::info!("coordinator: {why}");
             }
             Inbound::Peer { from, body } => {
                 if let Some(at) = self.config.peers.iter().position(|p| *p == from) {
@@ -165,12 +192,19 @@
                 }
             }
             Inbound::Command(line) => {
-                let text = console::run(self, now, &line);
+                let (text, act) = console::run(&self.scene(now), &line);
                 self.tasks.push(Task::Print(text));
+                match act {
+                    Some(console::Act::Drain(on)) => self.draining = on,
+                    Some(console::Act::Stop) => self.stop(now),
+                    None => {}
+                }
             }
             Inbound::Report => {
-                let line = counters::line(&self.counters());
-                self.tasks.push(Task::Log(line));
+                tracing::info!("{}", counters::line(&self.counters()));
+            }
+            Inbound::Control(news) => {
+                self.with_appliance(now, |a, clocks, scene| a.take(clocks, news, scene));
             }
             Inbound::Stop => self.stop(now),
             // Whoever runs the switchboard reads the files: see `Switchboard::reload`.
@@ -186,18 +220,21 @@
             Ok(new) => new,
             Err(e) => {
                 self.counts.bad_reloads += 1;
-                return self.tasks.push(Task::Log(format!("configuration kept: {e}")));
+                return tracing::warn!("configuration kept: {e}");
             }
         };
         self.counts.reloads += 1;
         for key in self.config.needs_restart(&new) {
-            self.tasks.push(Task::Log(format!("configuration: {key}: takes effect at the next start")));
+            tracing::info!(key, "configuration: {key}: takes effect at the next start");
         }
         if self.config.coordinator != new.coordinator {
             self.tasks.push(Task::Follow(new.coordinator));
         }
         self.config.follow(new);
-        self.tasks.push(Task::Log("configuration read anew".to_owned()));
+        if let (Some(a), Some(config)) = (&mut self.appliance, &self.config.appliance) {
+            a.reload(config, self.config.settings.drain_grace);
+        }
+        tracing::info!("configuration read anew");
     }
 
     /// Sweeps the deadlines.
@@ -213,6 +250,7 @@
                     }
                 }
                 Due::Export => self.export(now),
+                Due::Appliance => self.with_appliance(now, Appliance::look),
                 Due::Stop => {}
                 Due::LastAnswers => self.ledger.fail_open(now),
             }
@@ -254,103 +292,15 @@
         if self.config.telemetry.is_some() {
             table.extend(self.exported.table());
         }
+        if let Some(a) = &self.appliance {
+            table.extend(a.counters());
+        }
         if let Some(agent) = &self.agent {
             table.extend(counters::agent_table(&agent.counts(), agent.repeats()));
         }
         table
     }
 
-    // ---- Telemetry ----
-
-    /// The exporter's counts, shared with its task.
-    pub fn exported(&self) -> Rc<ExportCounts> {
-        self.exported.clone()
-    }
-
-    fn span(&mut self, call: CallId, answer: &Answer, (from, to): (Micros, Micros), destination: ExchangeNo) {
-        if !self.config.telemetry.as_ref().is_some_and(|t| t.spans) {
-            return;
-        }
-        if self.spans.len() >= SPANS {
-            self.counts.spans_dropped += 1;
-            return;
-        }
-        let answer = match answer {
-            Answer::Stands(_) => "stands",
-            Answer::Refused { .. } => "refused",
-            Answer::Failed => "failed",
-        };
-        self.spans.push(CallSpan { call: call.0, from, to, destination: destination.0, answer });
-    }
-
-    fn export(&mut self, now: Micros) {
-        let Some(interval) = self.config.telemetry.as_ref().map(|t| t.interval) else { return };
-        self.deadlines.add(now + interval, Due::Export);
-        let gauges = self.gauges().map(|(name, v)| (name.to_owned(), v)).to_vec();
-        let calls = std::mem::take(&mut self.spans);
-        self.tasks.push(Task::Export(Snapshot { at: now, counters: self.counters(), gauges, calls }));
-    }
-
-    fn gauges(&self) -> [(&'static str, u64); 4] {
-        let of = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
-        [
-            ("calls.open", of(self.ledger.open_calls())),
-            ("calls.standing", of(self.ledger.standing_calls())),
-            ("connections", of(self.outboxes.len())),
-            ("deadlines", of(self.deadlines.len())),
-        ]
-    }
-
-    // ---- The console ----
-
-    /// The state in a few lines.
-    pub fn status(&self, now: Micros) -> String {
-        let phase = match (self.stopping.is_some(), self.draining) {
-            (true, _) => "stopping",
-            (false, true) => "draining",
-            (false, false) if self.links.settled() => "serving",
-            (false, false) => "starting",
-        };
-        let mut out = format!("state {phase}, up {} s\n", (now - self.born) / 1_000_000);
-        for (name, value) in self.gauges() {
-            // Writing to a string can't fail.
-            let _ = writeln!(out, "{name} {value}");
-        }
-        out
-    }
-
-    /// A line for each exchange and each gateway.
-    pub fn exchanges(&self) -> Vec<String> {
-        let links = self.links.views().map(|(_, place, state, up)| {
-            let line = if up { "connected" } else { "not connected" };
-            format!("exchange {} at {}: {state:?}, {line}", place.member, place.address)
-        });
-        let gateways = self.agent.iter().flat_map(Agent::views).map(|(name, state, free, all)| {
-            format!("gateway {name}: {state:?}, {free} of {all} endpoints free")
-        });
-        links.chain(gateways).collect()
-    }
-
-    /// A line for each call that is open or stands.
-    pub fn call_lines(&self, now: Micros) -> Vec<String> {
-        let line = |v: CallView| {
-            let front = if v.front == GATEWAYS { "gateway" } else { "lines" };
-            let since = v.since.map_or(String::new(), |s| format!(" for {} ms", (now - s) / 1000));
-            format!("call {} from {front} to exchange {}: {}{since}", v.call.0, v.destination.0, v.doing)
-        };
-        self.ledger.views().map(line).collect()
-    }
-
-    /// What the program was told.
-    pub fn told(&self) -> String {
-        self.config.summary()
-    }
-
-    /// Fails the platform's tests from now on, or no longer.
-    pub fn drain(&mut self, on: bool) {
-        self.draining = on;
-    }
-
     // ---- News ----
 
     /// Asks for a stop: calls are taken for a while yet, and all that was taken is answered.
@@ -416,7 +366,8 @@
             Ask::LeftEarlier(sid) => self.links.release_earlier(sid),
             Ask::Test(sid) => {
                 let ready = self.links.settled() || now - self.born >= SETTLE;
-                let code = u16::from(ready && self.stopping.is_none() && !self.draining);
+                let draining = self.draining || self.appliance.as_ref().is_some_and(Appliance::fails_tests);
+                let code = u16::from(ready && self.stopping.is_none() && !draining);
                 let message = Message { code: Some(code), ..Message::new(Kind::Probed, sid) };
                 self.send(Side::Callers, conn, None, &message);
             }
@@ -430,7 +381,7 @@
             Ok(update) => update,
             Err(e) => {
                 self.counts.bad_list_events += 1;
-                return self.tasks.push(Task::Log(format!("coordinator: {e}")));
+                return tracing::warn!("coordinator: {e}");
             }
         };
         let (entries, complete) = match &update.news {
@@ -462,9 +413,18 @@
             let (ledger, links) = (self.ledger.take_outputs(), self.links.take_outputs());
             let agent = self.agent.as_mut().map_or_else(Vec::new, Agent::take_outputs);
             let callers = self.callers.take_outputs();
-            if ledger.is_empty() && links.is_empty() && agent.is_empty() && callers.is_empty() {
+            let orders = self.appliance.as_mut().map_or_else(Vec::new, Appliance::take_outputs);
+            if ledger.is_empty()
+                && links.is_empty()
+                && agent.is_empty()
+                && callers.is_empty()
+                && orders.is_empty()
+            {
                 return;
             }
+            for output in orders {
+                self.appliance_output(now, output);
+            }
             for output in ledger {
                 self.ledger_output(now, output);
             }
@@ -481,6 +441,10 @@
     }
 
     fn ledger_output(&mut self, now: Micros, output: Output) {
+        log::call(&output);
+        if let Some(a) = &mut self.appliance {
+            a.observe(now, &output, &self.ledger, &self.aims);
+        }
         match output {
             Output::SetUp { call, attempt, office, wait } => match &mut self.agent {
                 Some(agent) if agent.has(office) => {
@@ -512,7 +476,7 @@
             Output::Probe(office) => self.links.probe(now, office),
             Output::Tell { to, body } => self.tell_peers(to, body),
             Output::FetchList => self.tasks.push(Task::Refetch),
-            Output::Log(line) => self.tasks.push(Task::Log(line)),
+            Output::Log(line) => tracing::info!("{line}"),
             Output::Wake(at, due) => self.deadlines.add(at, Due::Ledger(due)),
         }
     }
@@ -550,7 +514,7 @@
             LinkOutput::Group(office, load) => self.ledger.group(now, office, load),
             LinkOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
             LinkOutput::GaveUp(member, why) => {
-                self.tasks.push(Task::Log(format!("exchange {member}: connection given up: {why}")));
+                tracing::info!(%member, "exchange {member}: connection given up: {why}");
             }
             LinkOutput::Earlier(sid, code) => self.callers.release_earlier(now, sid, code),
         }
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -310,6 +310,11 @@
         }
     }
 
+    /// An office takes nothing new by order: a set-up that waits for a connection could leave after the grace.
+    pub fn shed(&mut self, office: OfficeId) {
+        self.fail_waiting(office);
+    }
+
     fn gone(&mut self, now: Micros, office: OfficeId) {
         let Some(link) = self.links.get_mut(&office) else { return };
         if link.state != ListState::Gone {
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -250,6 +250,13 @@
     pub all: bool,
 }
 
+impl Withdrawn {
+    /// Whether an exchange, or the group toward it, is out of service.
+    pub fn holds(&self, exchange: ExchangeNo) -> bool {
+        self.exchanges.contains(&exchange) || self.groups.contains(&exchange)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -94,15 +94,15 @@
         taken: Micros,
         /// Where it goes.
         destination: ExchangeNo,
-        /// The office of the last set-up, and how long that was out, if one was sent.
-        last: Option<(OfficeId, Micros)>,
+        /// The last set-up, if one was sent.
+        last: Option<Last>,
     },
     /// A set-up ended without the call's standing; nothing is to be done about it on a wire.
     AttemptEnded {
         /// The call.
         call: CallId,
-        /// Where it went.
-        office: OfficeId,
+        /// The exchange that it went to, if it was on the list.
+        leg: Option<ExchangeNo>,
         /// How.
         ending: Ending,
         /// Why.
@@ -134,6 +134,17 @@
     Wake(Micros, LedgerDue),
 }
 
+/// The last set-up of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Last {
+    /// The exchange that it went to, if it was on the list.
+    pub leg: Option<ExchangeNo>,
+    /// How long it was out.
+    pub took: Micros,
+    /// How it ended; `None`: the call stands.
+    pub how: Option<(Ending, Cause)>,
+}
+
 /// Why the ledger held back what the module asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HeldBack {
@@ -186,8 +197,9 @@
     stage: Stage,
     attempts: u8,
     quiet_until: Micros,
-    /// The office of the last set-up, and how long that was out.
-    last: Option<(OfficeId, Micros)>,
+    /// The exchange that the last set-up went to.
+    leg: Option<ExchangeNo>,
+    last: Option<Last>,
 }
 
 /// What the list has told of an office.
@@ -226,10 +238,10 @@
     pub destination: ExchangeNo,
     /// What it is doing.
     pub doing: &'static str,
-    /// The office that it is at.
-    pub office: Option<OfficeId>,
+    /// The exchange that its set-up went to, while one is out or stands.
+    pub leg: Option<ExchangeNo>,
     /// Since when.
-    pub since: Option<Micros>,
+    pub since: Micros,
 }
 
 /// The ledger and the decision module in it.
@@ -284,6 +296,7 @@
             attempts: 0,
             quiet_until: 0,
             last: None,
+            leg: None,
         };
         self.calls.insert(call, entry);
         self.tally.offered += 1;
@@ -324,7 +337,7 @@
             return false;
         }
         entry.stage = Stage::Standing { attempt, office, since: now };
-        entry.last = Some((office, now - since));
+        entry.last = Some(Last { leg: entry.leg, took: now - since, how: None });
         let answer = Answer::Stands(text);
         let output = entry.answer(call, answer);
         self.open -= 1;
@@ -362,8 +375,8 @@
                 entry.quiet_until = now + self.release;
             }
             *self.tally.endings.entry(ending_name(ending)).or_default() += 1;
-            entry.last = Some((office, now - since));
-            self.out.push(Output::AttemptEnded { call, office, ending, cause });
+            entry.last = Some(Last { leg: entry.leg, took: now - since, how: Some((ending, cause)) });
+            self.out.push(Output::AttemptEnded { call, leg: entry.leg, ending, cause });
         }
         let took = now - since;
         let report = self.withdrawals.report(now, office, report);
@@ -397,10 +410,12 @@
         }
     }
 
-    /// Releases the calls that stand and that `which` picks, towards both sides.
-    pub fn cut(&mut self, now: Micros, which: impl Fn(OfficeId) -> bool) {
+    /// Releases the calls that stand and that `which` picks by their first leg and destination, towards both sides.
+    pub fn cut(&mut self, now: Micros, which: impl Fn(Option<ExchangeNo>, ExchangeNo) -> bool) {
         let of = |(&call, e): (&CallId, &Entry)| match e.stage {
-            Stage::Standing { attempt, office, .. } if which(office) => Some((call, attempt, office)),
+            Stage::Standing { attempt, office, .. } if which(e.leg, e.offer.ask.destination) => {
+                Some((call, attempt, office))
+            }
             _ => None,
         };
         let found: Vec<_> = self.calls.iter().filter_map(of).collect();
@@ -507,13 +522,15 @@
         &self.withdrawals
     }
 
-    /// Set-ups that are out and calls that stand, by office.
-    pub fn loads(&self) -> BTreeMap<OfficeId, (u32, u32)> {
-        let mut loads: BTreeMap<OfficeId, (u32, u32)> = BTreeMap::new();
+    /// Set-ups that are out and calls that stand, by first leg and destination.
+    pub fn loads(&self) -> BTreeMap<(ExchangeNo, ExchangeNo), (u32, u32)> {
+        let mut loads: BTreeMap<_, (u32, u32)> = BTreeMap::new();
         for e in self.calls.values() {
+            let Some(leg) = e.leg else { continue };
+            let at = (leg, e.offer.ask.destination);
             match e.stage {
-                Stage::Out { office, .. } => loads.entry(office).or_default().0 += 1,
-                Stage::Standing { office, .. } => loads.entry(office).or_default().1 += 1,
+                Stage::Out { .. } => loads.entry(at).or_default().0 += 1,
+                Stage::Standing { .. } => loads.entry(at).or_default().1 += 1,
                 Stage::Deciding => {}
             }
         }
@@ -523,13 +540,13 @@
     /// The calls held, oldest first.
     pub fn views(&self) -> impl Iterator<Item = CallView> + '_ {
         self.calls.iter().map(|(&call, e)| {
-            let (doing, office, since) = match e.stage {
-                Stage::Deciding => ("waits", None, None),
-                Stage::Out { office, since, .. } => ("set-up out", Some(office), Some(since)),
-                Stage::Standing { office, since, .. } => ("stands", Some(office), Some(since)),
+            let (doing, leg, since) = match e.stage {
+                Stage::Deciding => ("waits", None, e.taken),
+                Stage::Out { since, .. } => ("set-up out", e.leg, since),
+                Stage::Standing { since, .. } => ("stands", e.leg, since),
             };
             let (front, destination) = (e.offer.front, e.offer.ask.destination);
-            CallView { call, front, destination, doing, office, since }
+            CallView { call, front, destination, doing, leg, since }
         })
     }
 
@@ -597,6 +614,7 @@
         let last = entry.deadline - ATTEMPT_EARLY;
         let until = timeout.map_or(last, |t| last.min(now + t.max(0)));
         entry.stage = Stage::Out { attempt, office, since: now };
+        entry.leg = self.withdrawals.exchange_of(office);
         self.tally.attempts += 1;
         self.out.push(Output::SetUp { call, attempt, office, wait: (until - now).max(0) });
         self.out.push(Output::Wake(until, LedgerDue::Attempt(call, attempt)));
--- a/src/routing/withdrawals.rs
+++ b/src/routing/withdrawals.rs
@@ -23,7 +23,8 @@
     /// Time in which something that came back is taken up again (µs).
     warm: Micros,
     listed: BTreeMap<OfficeId, ListEntry>,
-    figures: BTreeMap<OfficeId, (f64, f64)>,
+    /// Free circuits and size of the group toward each office, and when they were told.
+    figures: BTreeMap<OfficeId, (f64, f64, Micros)>,
     withdrawn: Withdrawn,
     /// Groups that are withdrawn, and since when.
     shut: BTreeMap<ExchangeNo, Micros>,
@@ -92,7 +93,7 @@
     /// Takes the figures of a group and gives them as they count.
     pub fn report(&mut self, now: Micros, office: OfficeId, mut report: LoadReport) -> LoadReport {
         if let (Some(free), Some(size)) = (report.free, report.size) {
-            self.figures.insert(office, (free, size));
+            self.figures.insert(office, (free, size, now));
             report.free = Some(self.free(now, office, (free, size)));
         }
         report
@@ -147,8 +148,12 @@
         Changes { entries, groups }
     }
 
-    fn group(&self, now: Micros, office: OfficeId, f: (f64, f64)) -> LoadReport {
-        LoadReport { free: Some(self.free(now, office, f)), size: Some(f.1), ..LoadReport::default() }
+    fn group(&self, now: Micros, office: OfficeId, f: (f64, f64, Micros)) -> LoadReport {
+        LoadReport {
+            free: Some(self.free(now, office, (f.0, f.1))),
+            size: Some(f.1),
+            ..LoadReport::default()
+        }
     }
 
     /// Groups that come back little by little: their figures as they count now. To be told on about every tenth of
@@ -157,7 +162,7 @@
         if self.reopened.is_empty() {
             return Vec::new();
         }
-        let of = |(&office, &f): (&OfficeId, &(f64, f64))| {
+        let of = |(&office, &f): (&OfficeId, &(f64, f64, Micros))| {
             let exchange = self.listed.get(&office)?.exchange;
             self.reopened.contains_key(&exchange).then(|| (office, self.group(now, office, f)))
         };
@@ -184,7 +189,12 @@
 
     /// Each office on the list as the coordinator has it, with free circuits and size of its group.
     pub fn offices(&self) -> impl Iterator<Item = (&ListEntry, Option<(f64, f64)>)> {
-        self.listed.values().map(|e| (e, self.figures.get(&e.office).copied()))
+        self.listed.values().map(|e| (e, self.figures.get(&e.office).map(|f| (f.0, f.1))))
+    }
+
+    /// Free circuits and size of each group as they were told, and when.
+    pub fn figures(&self) -> impl Iterator<Item = (OfficeId, (f64, f64, Micros))> + '_ {
+        self.figures.iter().map(|(&office, &f)| (office, f))
     }
 }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,10 +3,12 @@
 //! Socket tasks reach that task only through one bounded queue of [`Inbound`] news, and wait when it is full.
 //! It reaches them through an [`outbox::Outbox`] for each connection, and never waits.
 
+pub mod control;
 pub mod coordinator;
 pub mod datagrams;
 pub mod http;
 pub mod outbox;
+pub mod saver;
 pub mod signals;
 pub mod streams;
 
@@ -16,6 +18,7 @@
 use crate::protocol::ConnId;
 use outbox::Outbox;
 use std::net::SocketAddr;
+use walnuthatch_control::sessions::Client;
 
 /// Which side of the program a connection belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -43,6 +46,21 @@
     Closed(Closing),
 }
 
+/// What operators' programs and the state folder have to tell.
+#[derive(Debug)]
+pub enum ControlNews {
+    /// A program connected; what it is to read goes into this queue, one piece at a time.
+    Opened(Client, async_channel::Sender<Vec<u8>>),
+    /// It sent this.
+    Bytes(Client, Vec<u8>),
+    /// It was written what was in its queue.
+    Wrote(Client),
+    /// Its connection is no more.
+    Closed(Client),
+    /// The state of this number was saved, or not for this reason.
+    Saved(u64, Result<(), String>),
+}
+
 /// What reaches the task that owns routing.
 #[derive(Debug)]
 pub enum Inbound {
@@ -66,6 +84,8 @@
         /// Its content.
         body: Vec<u8>,
     },
+    /// News of the control socket or the state folder.
+    Control(ControlNews),
     /// A line from the console.
     Command(String),
     /// The counters are asked for.
--- /dev/null
+++ b/src/transport/saver.rs
@@ -0,0 +1,36 @@
+//! The thread that writes the state folder. The task that owns routing hands it whole states and never waits; a newer
+//! one takes the place of one that has not begun to be written.
+
+use super::{ControlNews, Inbound};
+use async_channel::{bounded, Receiver, Sender};
+use walnuthatch_drains::folder::Folder;
+use walnuthatch_drains::saved::Saved;
+
+/// A state with its number.
+pub type Saving = (u64, Box<Saved>);
+/// What became of the saving of that number.
+pub type Outcome = (u64, Result<(), String>);
+
+/// Starts the thread: states go in, what became of them comes out.
+pub fn start(mut folder: Folder) -> (Sender<Saving>, Receiver<Outcome>) {
+    let (savings, queue) = bounded::<Saving>(1);
+    let (outcomes, told) = bounded(1);
+    std::thread::spawn(move || {
+        while let Ok((n, saved)) = queue.recv_blocking() {
+            let how = folder.save(&saved).map_err(|e| e.to_string());
+            if outcomes.send_blocking((n, how)).is_err() {
+                return;
+            }
+        }
+    });
+    (savings, told)
+}
+
+/// Passes on what became of savings.
+pub async fn pass_on(told: Receiver<Outcome>, inbox: Sender<Inbound>) {
+    while let Ok((n, how)) = told.recv().await {
+        if inbox.send(Inbound::Control(ControlNews::Saved(n, how))).await.is_err() {
+            return;
+        }
+    }
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -461,7 +461,7 @@
     // A faulty file is named by its key, and nothing changes.
     std::fs::write(&path, told("nowhere")).unwrap();
     p.signal("HUP");
-    assert!(p.said("configuration kept: ").starts_with("coordinator"));
+    assert!(p.said("warning: configuration kept: ").starts_with("coordinator"));
     first.event(&update(5, false, &[self::member("s-2", l2.local_addr().unwrap(), 2, "up")]));
     accept(&l2);
     std::fs::write(&path, told(&at(&new))).unwrap();
--- a/tests/withdrawals.rs
+++ b/tests/withdrawals.rs
@@ -157,8 +157,8 @@
     for to in 1..=3 {
         assert!(refused(&offer(&mut l, T0 + 3 * MS, to).1).is_some());
     }
-    assert_eq!((l.standing_calls(), l.loads()[&office(1)]), (1, (0, 1)));
-    l.cut(T0 + 4 * MS, |o| o == office(1));
+    assert_eq!((l.standing_calls(), l.loads()[&(ExchangeNo(1), ExchangeNo(1))]), (1, (0, 1)));
+    l.cut(T0 + 4 * MS, |leg, _| leg == Some(ExchangeNo(1)));
     let outputs = l.take_outputs();
     assert!(outputs.iter().any(|o| matches!(o, Output::Release { cut: true, .. })), "{outputs:?}");
     assert!(outputs.iter().any(|o| matches!(o, Output::Clear { .. })));
