Add the full-screen console, walnuthatch demo and stand-ins, with tests of a drain's failures

A technician had no screen, and a newcomer could not see the program work without writing JSON by hand.

crates/console is the console (ratatui): state, command line and screens without I/O, a thread that keeps only the newest of each view, and a terminal that is left as it was found. crates/standin has exchanges and callers for the demonstration and the tests; walnuthatch demo runs the real program between them, with the console or with a closing table. tests/appliance.rs runs the program through frozen consoles, sessions that break off, kills at each step of a drain, contrary orders, signals, full and newer state folders, garbage and floods.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run check
+.PHONY: build test lint run check demo
 build:
 	cargo build --locked --release
 test:
@@ -8,5 +8,7 @@
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 run: build
 	target/release/walnuthatch --console
+demo: build
+	target/release/walnuthatch demo
 check:
 	bash .ci/run
--- /dev/null
+++ b/crates/console/src/screen.rs
@@ -0,0 +1,444 @@
+//! What is drawn. The first screen answers three questions: is it serving, what is wrong, what can I do.
+
+use crate::app::{App, Confirm, LinkState, Mode, Page, PAGES};
+use crate::command::COMMANDS;
+use ratatui::layout::{Constraint, Layout, Rect};
+use ratatui::style::{Color, Modifier, Style};
+use ratatui::text::{Line, Span, Text};
+use ratatui::widgets::{Block, Cell, Clear, Paragraph, Row, Table, TableState, Wrap};
+use ratatui::Frame;
+use walnuthatch_control::frames::Ask;
+use walnuthatch_control::views::{Drain, Exchange};
+
+/// How it may look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// Colours may be used. Nothing is told by them alone.
+    pub colours: bool,
+    /// Characters beyond ASCII may be used.
+    pub unicode: bool,
+}
+
+impl Look {
+    /// As the environment asks for: `NO_COLOR`, and the locale.
+    pub fn of_environment(env: impl Fn(&str) -> Option<String>) -> Look {
+        let set = |name: &str| env(name).filter(|v| !v.is_empty());
+        let dumb = set("TERM").is_some_and(|t| t == "dumb" || t == "vt100" || t.ends_with("-mono"));
+        let locale = set("LC_ALL").or_else(|| set("LC_CTYPE")).or_else(|| set("LANG")).unwrap_or_default();
+        let utf = locale.to_ascii_lowercase().replace('-', "").contains("utf8");
+        Look { colours: set("NO_COLOR").is_none() && !dumb, unicode: utf }
+    }
+
+    fn colour(self, c: Color) -> Style {
+        if self.colours {
+            Style::new().fg(c)
+        } else {
+            Style::new()
+        }
+    }
+
+    fn bad(self) -> Style {
+        self.colour(Color::Red).add_modifier(Modifier::BOLD)
+    }
+
+    fn good(self) -> Style {
+        self.colour(Color::Green)
+    }
+
+    fn dim(self) -> Style {
+        if self.colours {
+            Style::new().fg(Color::DarkGray)
+        } else {
+            Style::new()
+        }
+    }
+}
+
+const HEAD: Style = Style::new().add_modifier(Modifier::BOLD);
+const CHOSEN: Style = Style::new().add_modifier(Modifier::REVERSED);
+
+/// Draws all of it.
+pub fn draw(frame: &mut Frame<'_>, app: &App, look: Look) {
+    let [head, tabs, body, foot] = Layout::vertical([
+        Constraint::Length(3),
+        Constraint::Length(1),
+        Constraint::Min(3),
+        Constraint::Length(2),
+    ])
+    .areas(frame.area());
+    frame.render_widget(Paragraph::new(header(app, look)), head);
+    frame.render_widget(Paragraph::new(pages(app)), tabs);
+    match app.page {
+        Page::Overview => overview(frame, body, app, look),
+        Page::Exchanges => exchanges(frame, body, app, look),
+        Page::Calls => calls(frame, body, app),
+        Page::Drains => drains(frame, body, app),
+        Page::Events => events(frame, body, app),
+        Page::Alarms => alarms(frame, body, app, look),
+    }
+    frame.render_widget(Paragraph::new(footer(app, look)), foot);
+    match &app.mode {
+        Mode::Help => window(frame, "help", help()),
+        Mode::Confirm(c) => window(frame, "confirm", confirm(c)),
+        _ => {}
+    }
+}
+
+// ---- Is it serving, and what is wrong ----
+
+fn header(app: &App, look: Look) -> Text<'static> {
+    let Some(s) = &app.status else {
+        let why = match &app.link {
+            LinkState::Up => "waiting for the first view".to_owned(),
+            LinkState::Down(why) => why.clone(),
+        };
+        return Text::from(vec![Line::styled("not connected", look.bad()), Line::from(why)]);
+    };
+    let state = match (&app.link, s.state.as_str()) {
+        (LinkState::Down(why), _) => Span::styled(format!("CONNECTION LOST ({why})"), look.bad()),
+        (_, "serving") => Span::styled("SERVING", look.good().add_modifier(Modifier::BOLD)),
+        (_, other) => Span::styled(other.to_uppercase(), look.bad()),
+    };
+    let first = Line::from(vec![
+        Span::styled(format!("{} ", s.name), HEAD),
+        state,
+        Span::raw(format!("  up {}  {} open, {} stand", long(s.up_s), s.open, s.standing)),
+        Span::raw(format!("  {}/{} exchanges", s.ready, s.listed)),
+        Span::raw(if s.drains > 0 { format!("  {} drains", s.drains) } else { String::new() }),
+    ]);
+    let second = match (s.alarms, s.worst.is_empty()) {
+        (0, _) | (_, true) => Line::styled("nothing is wrong", look.good()),
+        (n, false) => Line::styled(format!("{n} alarms: {}", s.worst), look.bad()),
+    };
+    let mut notes = Vec::new();
+    if s.state_folder == "unsaved" {
+        notes.push("drains are not saved".to_owned());
+    }
+    if s.log_lost + app.lost > 0 {
+        notes.push(format!("{} log lines and {} events lost", s.log_lost, app.lost));
+    }
+    Text::from(vec![first, second, Line::styled(notes.join("; "), look.dim())])
+}
+
+fn pages(app: &App) -> Line<'static> {
+    let mut spans = Vec::new();
+    for (n, (page, name)) in PAGES.iter().enumerate() {
+        let style = if *page == app.page { CHOSEN } else { Style::new() };
+        spans.push(Span::styled(format!("{} {name}", n + 1), style));
+        spans.push(Span::raw("  "));
+    }
+    Line::from(spans)
+}
+
+/// What can I do.
+fn footer(app: &App, look: Look) -> Text<'static> {
+    let first = match &app.message {
+        Some((true, text)) => Line::raw(text.clone()),
+        Some((false, text)) => Line::styled(format!("! {text}"), look.bad()),
+        None => Line::default(),
+    };
+    let second = match &app.mode {
+        Mode::Line(text) => Line::raw(format!(":{text}_")),
+        Mode::Search(text) => Line::raw(format!("/{text}_")),
+        _ => Line::styled(keys(app.page), look.dim()),
+    };
+    Text::from(vec![first, second])
+}
+
+fn keys(page: Page) -> &'static str {
+    match page {
+        Page::Overview | Page::Exchanges => {
+            "d drain  u undrain  up/down choose  / search calls  : command  ? help  q leave"
+        }
+        Page::Drains => "u undrain  up/down choose  : command  ? help  q leave",
+        Page::Calls => "/ search  up/down choose  : command  ? help  q leave",
+        Page::Alarms => "s seen  up/down choose  : command  ? help  q leave",
+        Page::Events => "up/down choose  : command  ? help  q leave",
+    }
+}
+
+// ---- Pages ----
+
+fn overview(frame: &mut Frame<'_>, area: Rect, app: &App, look: Look) {
+    let [service, list] = Layout::vertical([Constraint::Length(7), Constraint::Min(2)]).areas(area);
+    let mut lines = vec![Line::styled(
+        format!(
+            "{:<14}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}",
+            "calls", "answered", "in aim", "late", "refused", "failed", "left"
+        ),
+        HEAD,
+    )];
+    for s in &app.service.spans {
+        let of = |fates: &[&str]| fates.iter().filter_map(|f| s.by_fate.get(*f)).sum::<u32>();
+        let refused =
+            of(&["drained", "no_circuit", "turned_back", "processor_full", "unanswered", "fault", "no_way"]);
+        let share = s.in_aim_share.map_or("-".to_owned(), |v| format!("{:.1}%", v * 100.0));
+        let (late, failed, left) = (of(&["late"]), of(&["failed"]), of(&["abandoned"]));
+        let name = match s.seconds {
+            10 => "last 10 s",
+            60 => "last minute",
+            _ => "last hour",
+        };
+        lines.push(Line::raw(format!(
+            "{name:<14}{:>9}{share:>9}{late:>9}{refused:>9}{failed:>9}{left:>9}",
+            s.answered
+        )));
+    }
+    let why: Vec<String> = app.service.spans.get(1).map_or(Vec::new(), |s| {
+        let named =
+            ["drained", "no_circuit", "turned_back", "processor_full", "unanswered", "fault", "no_way"];
+        let of =
+            |f: &&str| s.by_fate.get(*f).filter(|n| **n > 0).map(|n| format!("{} {n}", f.replace('_', " ")));
+        named.iter().filter_map(of).collect()
+    });
+    lines.push(Line::raw(format!(
+        "answers p50 {:.1} ms  p99 {:.1} ms  p99.9 {:.1} ms",
+        app.service.p50_ms, app.service.p99_ms, app.service.p999_ms
+    )));
+    let why = if why.is_empty() { "none".to_owned() } else { why.join(", ") };
+    lines.push(Line::raw(format!("refused in the last minute: {why}")));
+    let width = usize::from(area.width).saturating_sub(18).min(app.service.history.len());
+    let last = &app.service.history[app.service.history.len() - width..];
+    lines.push(Line::raw(format!("calls a second   {}", spark(last.iter().copied(), look))));
+    frame.render_widget(Paragraph::new(lines), service);
+    exchanges(frame, list, app, look);
+}
+
+fn exchanges(frame: &mut Frame<'_>, area: Rect, app: &App, look: Look) {
+    let wide = area.width >= 110;
+    let mut head =
+        vec!["exch", "machine", "state", "free", "out", "stand", "p50", "p99", "report", "refused"];
+    let mut widths = vec![4, 14, 12, 9, 4, 6, 7, 7, 8, 7];
+    if wide {
+        head.extend(["address", "set-ups a second"]);
+        widths.extend([21, 30]);
+    }
+    let row = |e: &Exchange| {
+        let state = match (e.drain.is_empty(), e.connected, e.listed.as_str()) {
+            (false, ..) => e.drain.clone(),
+            (true, false, _) => "no line".to_owned(),
+            (true, true, listed) => listed.to_owned(),
+        };
+        let free = match (e.free, e.size) {
+            (Some(free), Some(size)) => format!("{free:.0}/{size:.0}"),
+            _ => "?".to_owned(),
+        };
+        let style =
+            if e.connected && e.drain.is_empty() && e.listed == "ready" { Style::new() } else { look.bad() };
+        let age = e.report_age_ms.map_or("never".to_owned(), |ms| format!("{:.1} s", ms as f64 / 1000.0));
+        let mut cells = vec![
+            Cell::from(e.exchange.to_string()),
+            Cell::from(e.member.clone()),
+            Cell::from(Span::styled(state, style)),
+            Cell::from(free),
+            Cell::from(e.out.to_string()),
+            Cell::from(e.standing.to_string()),
+            Cell::from(format!("{:.0} ms", e.p50_ms)),
+            Cell::from(format!("{:.0} ms", e.p99_ms)),
+            Cell::from(age),
+            Cell::from(e.turned_away.to_string()),
+        ];
+        if wide {
+            cells.push(Cell::from(e.address.clone()));
+            cells.push(Cell::from(spark(e.history.iter().map(|n| u32::from(*n)), look)));
+        }
+        Row::new(cells)
+    };
+    table(frame, area, app, &head, &widths, app.exchanges.iter().map(row).collect());
+}
+
+fn table(frame: &mut Frame<'_>, area: Rect, app: &App, head: &[&str], widths: &[u16], rows: Vec<Row<'_>>) {
+    let widths: Vec<Constraint> = widths.iter().map(|w| Constraint::Length(*w)).collect();
+    let table = Table::new(rows, widths)
+        .header(Row::new(head.iter().map(|h| (*h).to_owned()).collect::<Vec<_>>()).style(HEAD))
+        .row_highlight_style(CHOSEN);
+    let mut state = TableState::default().with_selected(Some(app.row));
+    frame.render_stateful_widget(table, area, &mut state);
+}
+
+fn calls(frame: &mut Frame<'_>, area: Rect, app: &App) {
+    let [title, list] = Layout::vertical([Constraint::Length(1), Constraint::Min(2)]).areas(area);
+    let searched = if app.search.is_empty() { String::new() } else { format!(", with {:?}", app.search) };
+    let text = format!("{} of {} calls{searched}, oldest first", app.calls.len(), app.total);
+    frame.render_widget(Paragraph::new(text), title);
+    let rows = app.calls.iter().map(|c| {
+        let over = c.over.map_or("-".to_owned(), |o| o.to_string());
+        let age = format!("{:.1} s", c.for_ms as f64 / 1000.0);
+        Row::new([c.call.to_string(), c.front.clone(), c.destination.to_string(), over, c.doing.clone(), age])
+    });
+    table(
+        frame,
+        list,
+        app,
+        &["call", "front", "to", "over", "doing", "for"],
+        &[10, 8, 6, 6, 11, 10],
+        rows.collect(),
+    );
+}
+
+fn drains(frame: &mut Frame<'_>, area: Rect, app: &App) {
+    let below = (app.windows.len() + app.over.len().min(5) + 2).min(usize::from(area.height / 2)) as u16;
+    let [list, rest] = Layout::vertical([Constraint::Min(3), Constraint::Length(below)]).areas(area);
+    let row = |d: &Drain| {
+        let limit = d.limit_left_s.map_or("-".to_owned(), |s| format!("{} {}", long(s), d.at_limit));
+        Row::new([
+            d.order.to_string(),
+            d.target.clone(),
+            d.state.clone(),
+            format!("{} {:3.0}%", bar(d.progress), d.progress * 100.0),
+            format!("{}+{}", d.standing, d.out),
+            limit,
+            format!("{}{} {}", d.who, if d.forced { " (force)" } else { "" }, d.reason),
+        ])
+    };
+    let head = ["order", "target", "state", "done", "left", "limit", "who, why"];
+    let why = area.width.saturating_sub(65).max(12);
+    let widths = [5, 12, 9, 13, 6, 14, why];
+    table(frame, list, app, &head, &widths, app.drains.iter().map(row).collect());
+    let mut lines = Vec::new();
+    for w in &app.windows {
+        let state = if w.open { "OPEN" } else { "closed" };
+        lines.push(Line::raw(format!("window {}: {} for {}, {state}", w.name, w.target, long(w.length_s))));
+    }
+    for d in app.over.iter().rev().take(5) {
+        lines.push(Line::raw(format!("over: order {} of {}: {}", d.order, d.who, d.target)));
+    }
+    frame.render_widget(Paragraph::new(lines), rest);
+}
+
+fn events(frame: &mut Frame<'_>, area: Rect, app: &App) {
+    let rows = app.events.iter().rev().map(|e| {
+        let day = e.at_ms.div_euclid(1000).rem_euclid(86_400);
+        let time = format!("{:02}:{:02}:{:02}", day / 3600, day / 60 % 60, day % 60);
+        Row::new([time, e.kind.clone(), e.text.clone()])
+    });
+    let width = area.width.saturating_sub(18);
+    table(frame, area, app, &["utc", "kind", "what"], &[8, 8, width], rows.collect());
+}
+
+fn alarms(frame: &mut Frame<'_>, area: Rect, app: &App, look: Look) {
+    if app.alarms.is_empty() {
+        return frame.render_widget(Paragraph::new(Line::styled("no alarms", look.good())), area);
+    }
+    let rows = app.alarms.iter().map(|a| {
+        let style = if a.severity == "critical" { look.bad() } else { Style::new() };
+        let seen = a.seen_by.clone().unwrap_or_else(|| "-".to_owned());
+        Row::new([a.severity.clone(), long(a.for_s), seen, format!("{}: {}", a.alarm, a.text)]).style(style)
+    });
+    let width = area.width.saturating_sub(32);
+    table(frame, area, app, &["", "for", "seen by", "alarm"], &[8, 8, 10, width], rows.collect());
+}
+
+// ---- Windows over the page ----
+
+fn window(frame: &mut Frame<'_>, title: &'static str, lines: Vec<Line<'static>>) {
+    let all = frame.area();
+    let width = all.width.saturating_sub(4).min(100);
+    let height = (lines.len() as u16 + 2).min(all.height.saturating_sub(2));
+    let area = Rect::new((all.width - width) / 2, (all.height - height) / 2, width, height);
+    frame.render_widget(Clear, area);
+    frame.render_widget(
+        Paragraph::new(lines).wrap(Wrap { trim: false }).block(Block::bordered().title(title)),
+        area,
+    );
+}
+
+fn help() -> Vec<Line<'static>> {
+    let mut lines: Vec<Line<'static>> = [
+        "1 to 6, Tab   pages               up, down, PgUp, PgDn   choose",
+        "d             drain what is chosen; its cost is shown first",
+        "u             put it back into service",
+        "s             the chosen alarm was seen        /   search calls",
+        ":             a command; Tab completes, up brings earlier ones",
+        "q, Ctrl-C     leave; the controller and its drains go on",
+        "",
+    ]
+    .map(Line::raw)
+    .to_vec();
+    lines.extend(COMMANDS.iter().map(|c| Line::raw(format!(":{}", c.1))));
+    lines
+}
+
+fn confirm(c: &Confirm) -> Vec<Line<'static>> {
+    let mut lines = Vec::new();
+    match &c.ask {
+        Ask::Drain { target, reason, limit_s, at_limit, force } => {
+            let limit =
+                limit_s.map_or("no limit".to_owned(), |s| format!("{} then {at_limit:?}", long(s.into())));
+            let force = if *force { ", by force" } else { "" };
+            lines.push(Line::styled(format!("drain {target}: {limit}{force} {reason}"), HEAD));
+        }
+        Ask::Stop => lines.push(Line::styled("stop the controller, once all calls have their answer", HEAD)),
+        other => lines.push(Line::raw(format!("{other:?}"))),
+    }
+    match &c.cost {
+        None if matches!(c.ask, Ask::Drain { .. }) => lines.push(Line::raw("its cost is being asked for")),
+        None => {}
+        Some(cost) => {
+            lines.push(Line::raw(format!("by the traffic of the last {}:", long(cost.over_s))));
+            lines.push(Line::raw(format!(
+                "  {:.1} calls a minute lose their destination",
+                cost.lost_per_minute
+            )));
+            lines.push(Line::raw(format!(
+                "  {:.1} a minute go direct to it, {:.1} use it as a tandem",
+                cost.direct_per_minute, cost.tandem_per_minute
+            )));
+            lines.push(Line::raw(format!(
+                "  {} calls stand there, {} set-ups are out",
+                cost.standing, cost.out
+            )));
+            for d in cost.displaced.iter().take(4) {
+                lines.push(Line::raw(format!(
+                    "  {:.1} a minute for exchange {} would go over {:?}",
+                    d.per_minute, d.destination, d.ways
+                )));
+            }
+            for g in cost.groups.iter().filter(|g| g.blocking_then > 0.01).take(4) {
+                lines.push(Line::raw(format!(
+                    "  group {} would block {:.1}% (now {:.1}%)",
+                    g.group,
+                    g.blocking_then * 100.0,
+                    g.blocking_now * 100.0
+                )));
+            }
+            if !cost.no_way.is_empty() {
+                lines.push(Line::raw(format!("  no way would be left to {:?}", cost.no_way)));
+            }
+            if let Some(denied) = &cost.denied {
+                lines.push(Line::styled(format!("the policy turns it down: {denied}"), HEAD));
+            }
+        }
+    }
+    lines.push(Line::raw(""));
+    lines.push(Line::raw(format!("write {} and Enter to do it, Esc to leave it: {}_", c.word, c.written)));
+    lines
+}
+
+// ---- Small things ----
+
+/// A span in few characters.
+fn long(seconds: u64) -> String {
+    match seconds {
+        0..=119 => format!("{seconds} s"),
+        120..=7199 => format!("{} min", seconds / 60),
+        7200..=172_799 => format!("{} h", seconds / 3600),
+        _ => format!("{} d", seconds / 86_400),
+    }
+}
+
+fn bar(share: f64) -> String {
+    let full = (share.clamp(0.0, 1.0) * 6.0).round() as usize;
+    format!("[{}{}]", "#".repeat(full), ".".repeat(6 - full))
+}
+
+/// Values as a line of small bars.
+fn spark(values: impl Iterator<Item = u32> + Clone, look: Look) -> String {
+    let steps: &[char] = if look.unicode {
+        &[' ', '\u{2581}', '\u{2582}', '\u{2583}', '\u{2584}', '\u{2585}', '\u{2586}', '\u{2587}', '\u{2588}']
+    } else {
+        &[' ', '.', ':', '-', '=', '+', '*', '%', '#']
+    };
+    let top = values.clone().max().unwrap_or(0).max(1);
+    values.map(|v| steps[(v * 8).div_ceil(top).min(8) as usize]).collect()
+}
--- a/crates/control/src/client.rs
+++ b/crates/control/src/client.rs
@@ -102,11 +102,12 @@
         }
     }
 
-    /// The stream, to be read or shut down by another thread.
+    /// Another end of the same connection, to send on while this one reads.
     ///
     /// # Errors
     /// If the system refuses.
-    pub fn stream(&self) -> io::Result<UnixStream> {
-        self.stream.try_clone()
+    pub fn pen(&self) -> io::Result<Connection> {
+        let stream = self.stream.try_clone()?;
+        Ok(Connection { reader: BufReader::new(stream.try_clone()?), stream, who: self.who.clone() })
     }
 }
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-in exchanges and callers on loopback, from the protocol's page only: for the demonstration, tests and
+//! measurements. They are as small as these need; no rule of the controller is in here.
+#![forbid(unsafe_code)]
+
+mod callers;
+mod exchange;
+
+pub use callers::{Callers, Load, Table};
+pub use exchange::{Exchange, Traits};
--- a/src/program/cli.rs
+++ b/src/program/cli.rs
@@ -1,7 +1,7 @@
 //! The command line. `walnuthatch` alone serves, as the platform runs it; everything else is a sub-command.
 
 use super::config::{self, Arguments, ConfigError};
-use super::{appliance_file, ctl, run};
+use super::{appliance_file, ctl, demo, run};
 use clap::{CommandFactory, Parser, Subcommand};
 use std::io;
 use std::path::PathBuf;
@@ -52,6 +52,15 @@
 enum Sub {
     /// Serve calls; the same as without a command
     Serve(Arguments),
+    /// The full-screen console of a running controller
+    Console {
+        /// The control socket [default: as the appliance's file says]
+        #[arg(long, value_name = "PATH", env = "WALNUTHATCH_SOCKET")]
+        socket: Option<PathBuf>,
+        /// The appliance's file, in place of deploy/appliance.toml
+        #[arg(long, value_name = "FILE")]
+        appliance: Option<PathBuf>,
+    },
     /// Ask a running controller, or tell it what to do
     Ctl(ctl::Args),
     /// Check or show the configuration
@@ -59,6 +68,8 @@
         #[command(subcommand)]
         what: ConfigSub,
     },
+    /// A controller between stand-in exchanges and callers on this machine, with the console
+    Demo(demo::Args),
     /// Print a script that completes commands in a shell
     Completions {
         /// The shell
@@ -86,7 +97,9 @@
     let exit = match cli.command {
         None => serve(cli.serve),
         Some(Sub::Serve(arguments)) => serve(arguments),
+        Some(Sub::Console { socket: named, appliance }) => console(named, appliance),
         Some(Sub::Ctl(args)) => ctl::main(args),
+        Some(Sub::Demo(args)) => demo::main(&args),
         Some(Sub::Config { what: ConfigSub::Check(a) }) => told(check(&a)),
         Some(Sub::Config { what: ConfigSub::Show(a) }) => {
             told(config::load(&a, run::environment).map(|c| c.summary()))
@@ -113,6 +126,22 @@
     }
 }
 
+fn console(named: Option<PathBuf>, appliance: Option<PathBuf>) -> Exit {
+    let path = match socket(named, appliance) {
+        Ok(path) => path,
+        Err(why) => return fault(&why),
+    };
+    let who = std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned());
+    match walnuthatch_console::run(&path, &who) {
+        Ok(()) => Exit::Done,
+        Err(e @ walnuthatch_console::ConsoleError::NoController(_)) => {
+            fault(&e);
+            Exit::NoController
+        }
+        Err(e) => fault(&e),
+    }
+}
+
 fn check(arguments: &Arguments) -> Result<String, ConfigError> {
     let config = config::load(arguments, run::environment)?;
     Ok(format!("the configuration of {} is good", config.name))
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -9,6 +9,7 @@
 pub mod console;
 pub mod counters;
 pub mod ctl;
+pub mod demo;
 pub mod log;
 pub mod run;
 pub mod switchboard;
