--- a/crates/console/src/app.rs
+++ b/crates/console/src/app.rs
@@ -107,6 +107,8 @@
     pub over: Vec<Drain>,
     /// Windows.
     pub windows: Vec<Window>,
+    /// The round of maintenance.
+    pub round: Option<Round>,
     /// Alarms.
     pub alarms: Vec<Alarm>,
     /// Events, oldest first.
@@ -143,6 +145,7 @@
             drains: Vec::new(),
             over: Vec::new(),
             windows: Vec::new(),
+            round: None,
             alarms: Vec::new(),
             events: VecDeque::new(),
             lost: 0,
@@ -212,8 +215,8 @@
             Body::Exchanges { exchanges } => self.exchanges = exchanges,
             Body::Calls { calls, total } => (self.calls, self.total) = (calls, total),
             Body::Service(s) => self.service = s,
-            Body::Drains { drains, over, windows } => {
-                (self.drains, self.over, self.windows) = (drains, over, windows);
+            Body::Drains { drains, over, windows, round } => {
+                (self.drains, self.over, self.windows, self.round) = (drains, over, windows, round);
             }
             Body::Alarms { alarms } => self.alarms = alarms,
             Body::Events { events } => self.events = events.into(),
--- a/crates/console/src/command.rs
+++ b/crates/console/src/command.rs
@@ -20,10 +20,13 @@
 }
 
 /// The commands, with their forms.
-pub const COMMANDS: [(&str, &str); 9] = [
+pub const COMMANDS: [(&str, &str); 12] = [
     ("drain", "drain TARGET [limit=30m] [then=keep|restore|cut] [force] [REASON...]"),
     ("undrain", "undrain TARGET"),
     ("cost", "cost TARGET: what a drain would cost"),
+    ("round", "round TARGET... [pause=5m]: drain one after the other, each put back first"),
+    ("next", "next: the round goes on"),
+    ("halt", "halt: the round ends here; what is drained stays so"),
     ("seen", "seen ALARM: it was seen"),
     ("log", "log FILTER: what the controller logs, as info,walnuthatch::drains=debug"),
     ("search", "search TEXT: only calls with this text; without one: all"),
@@ -84,6 +87,23 @@
         }
         "undrain" => Ok(Command::Ask(Ask::Undrain { target: target()? })),
         "cost" => Ok(Command::Ask(Ask::Cost { target: target()? })),
+        "round" => {
+            let (mut targets, mut pause_s) = (Vec::new(), None);
+            for word in words {
+                match word.strip_prefix("pause=") {
+                    Some(text) => {
+                        pause_s = Some(span(text).ok_or(format!("pause: found {text:?}, expected as 5m"))?)
+                    }
+                    None => targets.push(word.to_owned()),
+                }
+            }
+            if targets.is_empty() {
+                return Err(format!("TARGET is missing: {form}"));
+            }
+            Ok(Command::Confirm(Ask::Round { targets, reason: String::new(), pause_s }))
+        }
+        "next" => Ok(Command::Ask(Ask::Next)),
+        "halt" => Ok(Command::Ask(Ask::Halt)),
         "seen" => Ok(Command::Ask(Ask::Seen { alarm: words.collect::<Vec<_>>().join(" ") })),
         "log" => Ok(Command::Ask(Ask::Log { filter: words.next().map(str::to_owned) })),
         "search" => Ok(Command::Search(words.collect::<Vec<_>>().join(" "))),
@@ -109,7 +129,7 @@
         (_, "drain") if before.trim() != "drain" => {
             ["limit=", "then=keep", "then=restore", "then=cut", "force"].map(str::to_owned).to_vec()
         }
-        (_, "drain" | "undrain" | "cost") => targets.to_vec(),
+        (_, "drain" | "undrain" | "cost" | "round") => targets.to_vec(),
         (_, "seen") => alarms.to_vec(),
         _ => Vec::new(),
     };
--- a/crates/console/src/screen.rs
+++ b/crates/console/src/screen.rs
@@ -277,7 +277,7 @@
 }
 
 fn drains(frame: &mut Frame<'_>, area: Rect, app: &App) {
-    let below = (app.windows.len() + app.over.len().min(5) + 2).min(usize::from(area.height / 2)) as u16;
+    let below = (app.windows.len() + app.over.len().min(5) + 3).min(usize::from(area.height / 2)) as u16;
     let [list, rest] = Layout::vertical([Constraint::Min(3), Constraint::Length(below)]).areas(area);
     let row = |d: &Drain| {
         let limit = d.limit_left_s.map_or("-".to_owned(), |s| format!("{} {}", long(s), d.at_limit));
@@ -296,6 +296,17 @@
     let widths = [5, 12, 9, 13, 6, 14, why];
     table(frame, list, app, &head, &widths, app.drains.iter().map(row).collect());
     let mut lines = Vec::new();
+    if let Some(r) = &app.round {
+        let why = if r.halted.is_empty() { String::new() } else { format!(": {}", r.halted) };
+        let at = r.targets.get(r.done).map_or(String::new(), |t| format!(" at {t}"));
+        lines.push(Line::raw(format!(
+            "round {}: {}{at}, {} of {} done{why}",
+            r.order,
+            r.stage,
+            r.done,
+            r.targets.len()
+        )));
+    }
     for w in &app.windows {
         let state = if w.open { "OPEN" } else { "closed" };
         lines.push(Line::raw(format!("window {}: {} for {}, {state}", w.name, w.target, long(w.length_s))));
@@ -368,6 +379,9 @@
             let force = if *force { ", by force" } else { "" };
             lines.push(Line::styled(format!("drain {target}: {limit}{force} {reason}"), HEAD));
         }
+        Ask::Round { targets, .. } => {
+            lines.push(Line::styled(format!("drain one after the other: {}", targets.join(" ")), HEAD));
+        }
         Ask::Stop => lines.push(Line::styled("stop the controller, once all calls have their answer", HEAD)),
         other => lines.push(Line::raw(format!("{other:?}"))),
     }
--- a/crates/console/tests/screens.rs
+++ b/crates/console/tests/screens.rs
@@ -77,7 +77,11 @@
         at_limit: "restore".into(),
         ..Drain::default()
     };
-    view(&mut a, Topic::Drains, Body::Drains { drains: vec![drain], over: vec![], windows: vec![] });
+    view(
+        &mut a,
+        Topic::Drains,
+        Body::Drains { drains: vec![drain], over: vec![], windows: vec![], round: None },
+    );
     a
 }
 
--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -117,6 +117,21 @@
         /// As for a drain.
         target: String,
     },
+    /// Drain these one after the other, each put back and seen to work before the next one goes.
+    Round {
+        /// As for a drain.
+        targets: Vec<String>,
+        /// Why.
+        #[serde(default)]
+        reason: String,
+        /// An empty one is put back by itself after so long (s); without it, at the word.
+        #[serde(default)]
+        pause_s: Option<u32>,
+    },
+    /// The word: the round goes on.
+    Next,
+    /// The round ends here; what is drained stays so.
+    Halt,
     /// The orders that were given.
     Audit,
     /// What the program was told.
@@ -183,6 +198,9 @@
         over: Vec<Drain>,
         /// The windows.
         windows: Vec<Window>,
+        /// The round of maintenance, the last one also when it is over.
+        #[serde(default)]
+        round: Option<Round>,
     },
     /// The alarms.
     Alarms {
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -170,6 +170,28 @@
     }
 }
 
+view! {
+    /// A round of maintenance.
+    Round {
+        /// The order that began it.
+        order: u64,
+        /// What it drains, one after the other.
+        targets: Vec<String>,
+        /// How many are done.
+        done: usize,
+        /// `next`, `draining`, `working`, `settling`, `halted` or `done`.
+        stage: String,
+        /// Why it is halted; empty: it is not.
+        halted: String,
+        /// For how long it is there.
+        for_s: u64,
+        /// Who asked.
+        who: String,
+        /// Why.
+        reason: String,
+    }
+}
+
 view! {
     /// A maintenance window.
     Window {
--- a/crates/drains/src/book.rs
+++ b/crates/drains/src/book.rs
@@ -7,9 +7,11 @@
 //! and acts no more.
 
 use crate::drain::{AtLimit, Drain, Order, State, Step};
+use crate::guard::Guard;
 use crate::impact::{impact, Impact, Traffic};
+use crate::plan::{Act, Plan, Stage, TARGETS};
 use crate::policy::{Denied, Policy};
-use crate::saved::{Audit, Request, Saved, SavedDrain};
+use crate::saved::{Audit, Request, Saved, SavedDrain, SavedPlan};
 use crate::target::{Exchange, Load, Now, Site, Target};
 use crate::windows::Window;
 use crate::{Micros, SECOND};
@@ -54,6 +56,19 @@
         /// What.
         target: Target,
     },
+    /// Drain these one after the other, each put back before the next one goes.
+    Round {
+        /// What, in this order.
+        targets: Vec<Target>,
+        /// Why.
+        reason: String,
+        /// An empty one is put back by itself after so long (µs); `None`: when somebody says so.
+        pause: Option<Micros>,
+    },
+    /// The round goes on: the work on what is empty is done, or what halted it is mended.
+    Next,
+    /// The round ends here; what is drained stays so.
+    Halt,
 }
 
 impl fmt::Display for Command {
@@ -73,6 +88,17 @@
                 Ok(())
             }
             Command::Undrain { target } => write!(f, "undrain {target}"),
+            Command::Round { targets, reason, .. } => {
+                let names: Vec<String> = targets.iter().map(Target::to_string).collect();
+                write!(f, "round of {}", names.join(" "))?;
+                if reason.is_empty() {
+                    Ok(())
+                } else {
+                    write!(f, " ({reason})")
+                }
+            }
+            Command::Next => f.write_str("next of the round"),
+            Command::Halt => f.write_str("halt of the round"),
         }
     }
 }
@@ -116,7 +142,7 @@
 }
 
 /// Something that an operator may want to know.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// A drain went on to another state.
     Moved {
@@ -131,6 +157,22 @@
         /// Who asked for it.
         who: String,
     },
+    /// Service fell from the first share to the second, and the guard put the target back.
+    Guarded {
+        /// What.
+        target: Target,
+        /// Share of calls well served before.
+        before: f64,
+        /// Share well served now.
+        now: f64,
+    },
+    /// The round of maintenance went on.
+    Round {
+        /// The target at hand.
+        target: Option<Target>,
+        /// Where it is.
+        stage: Stage,
+    },
     /// A window could not begin its drain.
     WindowDenied {
         /// Its name.
@@ -182,6 +224,7 @@
     /// Drains that are not over.
     drains: Vec<Drain>,
     over: VecDeque<Drain>,
+    plan: Option<Plan>,
     next: Order,
     saving: u64,
     /// The last saving that failed has not been followed by one that did not.
@@ -205,6 +248,7 @@
             keeps,
             drains: Vec::new(),
             over: VecDeque::new(),
+            plan: None,
             next: 1,
             saving: 0,
             unsaved: false,
@@ -240,6 +284,18 @@
             d.begin(now.steady, &mut steps);
             self.drains.push(d);
         }
+        self.plan = saved.plan.map(|p| Plan {
+            order: p.order,
+            targets: p.targets,
+            at: p.at,
+            stage: p.stage,
+            since: now.steady,
+            who: p.who,
+            reason: p.reason,
+            pause: p.pause,
+            before: p.before,
+            margin: self.policy.guard_margin,
+        });
         self.apply();
     }
 
@@ -265,6 +321,11 @@
         &self.drains
     }
 
+    /// The round of maintenance, the last one also when it is over.
+    pub fn plan(&self) -> Option<&Plan> {
+        self.plan.as_ref()
+    }
+
     /// Drains that are over, oldest first.
     pub fn over(&self) -> impl Iterator<Item = &Drain> {
         self.over.iter()
@@ -297,7 +358,8 @@
 
     /// When [`Book::look`] must be called again at the latest.
     pub fn next_look(&self, now: Now) -> Micros {
-        let busy = !self.drains.is_empty() || !self.pending.is_empty();
+        let round = self.plan.as_ref().is_some_and(|p| !p.rests());
+        let busy = !self.drains.is_empty() || !self.pending.is_empty() || round;
         now.steady + if busy { LOOK } else { SECOND }
     }
 
@@ -331,25 +393,22 @@
             return self.repeated(at, &ask, &command, waiter);
         }
         let order = self.next;
+        // Orders that this one gives rise to come after it.
+        self.next += 1;
         let answer = self.carry_out(now, order, &ask, None, traffic, site);
         self.note(now, &ask, &command, &answer);
         match answer {
             Err(denied) => {
                 let answer = Answer { done: false, order: None, text: denied.to_string() };
+                self.next = order;
                 self.remember(&ask.request, &command, &answer);
                 self.save(now);
                 self.reply(waiter, answer);
             }
             Ok(text) => {
-                self.next += 1;
                 let answer = Answer { done: true, order: Some(order), text: text.clone() };
                 self.remember(&ask.request, &command, &answer);
-                self.save(now);
-                let (saving, since, request) = (self.saving, now.steady, ask.request);
-                self.pending.push(Pending { saving, since, waiter, order, request, answer: text });
-                if !self.keeps {
-                    self.settled(now, saving, None);
-                }
+                self.enter(now, order, waiter, ask.request, text);
             }
         }
         self.apply();
@@ -388,12 +447,13 @@
             let target = self.drains[i].target;
             let grace = if target == Target::Controller { self.policy.own_grace } else { self.policy.grace };
             let mut steps = Vec::new();
-            self.drains[i].look(now.steady, site.load(target), grace, &mut steps);
+            self.drains[i].look(now.steady, site.load(target), site.health(), grace, &mut steps);
             self.tell(i, &steps);
             changed |= !steps.is_empty();
         }
         self.bury();
         changed |= self.look_at_windows(now, traffic, site);
+        changed |= self.look_at_round(now, traffic, site);
         if changed {
             self.save(now);
         }
@@ -443,13 +503,7 @@
                     self.begun.insert(w.name.clone(), start);
                     self.retry.remove(&w.name);
                     self.note(now, &ask, &command, &answer);
-                    self.save(now);
-                    let (saving, since) = (self.saving, now.steady);
-                    let (answer, request) = (text.clone(), String::new());
-                    self.pending.push(Pending { saving, since, waiter: None, order, request, answer });
-                    if !self.keeps {
-                        self.settled(now, saving, None);
-                    }
+                    self.enter(now, order, None, String::new(), text.clone());
                 }
                 Err(why) => {
                     if self.retry.insert(w.name.clone(), now.steady + WINDOW_RETRY).is_none() {
@@ -463,6 +517,92 @@
         changed
     }
 
+    /// The state of the drain that the round is at.
+    fn round_drain(&self) -> Option<State> {
+        let target = self.plan.as_ref()?.target()?;
+        self.drains.iter().find(|d| d.target == target).map(|d| d.state)
+    }
+
+    fn look_at_round(&mut self, now: Now, traffic: &Traffic, site: &dyn Site) -> bool {
+        let (drain, health) = (self.round_drain(), site.health());
+        let Some(plan) = &mut self.plan else { return false };
+        let (before, at) = (plan.stage.clone(), plan.at);
+        let act = plan.look(now.steady, drain, health);
+        self.act_of_round(now, act, traffic, site);
+        let Some(plan) = &self.plan else { return false };
+        let changed = (&before, at) != (&plan.stage, plan.at);
+        if changed {
+            let (target, stage) = (plan.target(), plan.stage.clone());
+            self.out.push(Output::Tell(News::Round { target, stage }));
+        }
+        changed
+    }
+
+    /// Carries out what the round asks for, by the same orders as an operator's.
+    fn act_of_round(&mut self, now: Now, act: Option<Act>, traffic: &Traffic, site: &dyn Site) {
+        let (Some(act), Some(plan)) = (act, self.plan.clone()) else { return };
+        let command = match act {
+            Act::Drain(target) => {
+                let reason = format!("round {} {}", plan.order, plan.reason);
+                Command::Drain { target, reason, limit: None, at_limit: AtLimit::Keep, force: false }
+            }
+            Act::Undrain(target) => Command::Undrain { target },
+        };
+        let ask = Ask { request: String::new(), who: plan.who.clone(), command };
+        let order = self.next;
+        let answer = self.carry_out(now, order, &ask, None, traffic, site);
+        self.note(now, &ask, &ask.command.to_string(), &answer);
+        let how = answer.as_ref().map(|_| order).map_err(ToString::to_string);
+        if let Ok(text) = answer {
+            self.next += 1;
+            self.enter(now, order, None, String::new(), text);
+        }
+        let Some(plan) = &mut self.plan else { return };
+        match act {
+            Act::Drain(_) => plan.drained(now.steady, how),
+            Act::Undrain(_) => plan.go(now.steady, Stage::Settling),
+        }
+    }
+
+    /// An order is saved, and then in force and answered.
+    fn enter(&mut self, now: Now, order: Order, waiter: Option<Waiter>, request: String, answer: String) {
+        self.save(now);
+        let (saving, since) = (self.saving, now.steady);
+        self.pending.push(Pending { saving, since, waiter, order, request, answer });
+        if !self.keeps {
+            self.settled(now, saving, None);
+        }
+    }
+
+    fn round(&mut self, now: Now, order: Order, ask: &Ask, site: &dyn Site) -> Result<String, Denied> {
+        let Command::Round { targets, reason, pause } = &ask.command else {
+            return Err(Denied::Round("no round"));
+        };
+        if self.plan.as_ref().is_some_and(|p| !p.rests()) {
+            return Err(Denied::Round("a round is under way: halt it first"));
+        }
+        let distinct: BTreeSet<&Target> = targets.iter().collect();
+        if targets.is_empty() || targets.len() > TARGETS || distinct.len() != targets.len() {
+            return Err(Denied::Round("expected 1 to 64 targets, none of them twice"));
+        }
+        if targets.contains(&Target::Controller) {
+            return Err(Denied::Round("a round has no place for the controller itself"));
+        }
+        self.plan = Some(Plan {
+            order,
+            targets: targets.clone(),
+            at: 0,
+            stage: Stage::Next,
+            since: now.steady,
+            who: ask.who.clone(),
+            reason: reason.clone(),
+            pause: *pause,
+            before: site.health().good,
+            margin: self.policy.guard_margin,
+        });
+        Ok(format!("a round of {}", targets.len()))
+    }
+
     fn carry_out(
         &mut self,
         now: Now,
@@ -486,6 +626,8 @@
                     return Err(Denied::NoReason);
                 }
                 let cost = self.cost(now, *target, traffic, site);
+                let until = now.steady + self.policy.guard_span;
+                let guard = Guard::new(site.health(), self.policy.guard_margin, until).filter(|_| !force);
                 // A window's length was checked when it was read.
                 let limit = if window.is_some() { *limit } else { self.policy.limit(*limit)? };
                 self.policy.check(*target, *force, &self.drains, &cost, site, self.own)?;
@@ -501,6 +643,7 @@
                     at_limit: *at_limit,
                     forced: *force,
                     window,
+                    guard,
                     load: cost.load,
                     peak: cost.load,
                     ..Drain::asked(order, *target, now.steady)
@@ -509,6 +652,25 @@
                 let Load { out, standing } = cost.load;
                 Ok(format!("{target} drains: {standing} calls stand there, {out} set-ups are out"))
             }
+            Command::Round { reason, .. } if reason.len() > TEXT => Err(Denied::TooLong("reason", TEXT)),
+            Command::Round { .. } => self.round(now, order, ask, site),
+            Command::Next => {
+                let drain = self.round_drain();
+                let plan = self.plan.as_mut().filter(|p| p.stage != Stage::Done);
+                let plan = plan.ok_or(Denied::Round("no round is under way"))?;
+                let act = plan.next(now.steady, drain);
+                if act.is_none() && plan.stage != Stage::Next {
+                    return Err(Denied::Round("the round waits for a drain or for service, not for a word"));
+                }
+                self.act_of_round(now, act, traffic, site);
+                Ok("the round goes on".to_owned())
+            }
+            Command::Halt => {
+                let plan = self.plan.as_mut().filter(|p| !p.rests());
+                let plan = plan.ok_or(Denied::Round("no round is under way"))?;
+                plan.halt(now.steady, format!("halted by {}", ask.who));
+                Ok("the round is halted; what is drained stays so".to_owned())
+            }
             Command::Undrain { target } => {
                 let at = self.drains.iter().position(|d| d.target == *target);
                 let at = at.ok_or(Denied::NotDrained(*target))?;
@@ -606,6 +768,9 @@
             self.out.push(match step {
                 Step::To(state) => Output::Tell(News::Moved { order, target, state: *state, load, who }),
                 Step::Cut => Output::Cut(target),
+                Step::Guarded(before, now) => {
+                    Output::Tell(News::Guarded { target, before: *before, now: *now })
+                }
             });
         }
     }
@@ -664,6 +829,16 @@
             next: self.next,
             windows: self.begun.clone(),
             drains: self.drains.iter().map(drain).collect(),
+            plan: self.plan.as_ref().map(|p| SavedPlan {
+                order: p.order,
+                targets: p.targets.clone(),
+                at: p.at,
+                who: p.who.clone(),
+                reason: p.reason.clone(),
+                pause: p.pause,
+                before: p.before,
+                stage: p.stage.clone(),
+            }),
             requests: self.requests.iter().cloned().collect(),
             audit: self.audit.iter().cloned().collect(),
         };
--- a/crates/drains/src/drain.rs
+++ b/crates/drains/src/drain.rs
@@ -13,7 +13,8 @@
 //! In every state but asked and restored the target is out of service: a drain that went wrong stays on the safe
 //! side until somebody ends it.
 
-use crate::target::{Load, Target};
+use crate::guard::Guard;
+use crate::target::{Health, Load, Target};
 use crate::{Micros, SECOND};
 use serde::{Deserialize, Serialize};
 
@@ -81,7 +82,7 @@
 pub type Order = u64;
 
 /// A drain.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Drain {
     /// The order that began it.
     pub order: Order,
@@ -107,6 +108,8 @@
     pub forced: bool,
     /// The maintenance window that began it, and when that occurrence started (wall).
     pub window: Option<(String, Micros)>,
+    /// What ends it if service falls as it takes hold.
+    pub guard: Option<Guard>,
     /// The most that was there since it came into force.
     pub peak: Load,
     /// What was there at the last look.
@@ -118,12 +121,14 @@
 }
 
 /// What a drain asks for when it moves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
     /// It went on to this state.
     To(State),
     /// Release the calls that stand at the target.
     Cut,
+    /// Service fell from the first share to the second, and the guard ended the drain.
+    Guarded(f64, f64),
 }
 
 impl Drain {
@@ -142,6 +147,7 @@
             limit_done: false,
             forced: false,
             window: None,
+            guard: None,
             peak: Load::default(),
             load: Load::default(),
             idle: None,
@@ -183,7 +189,7 @@
     }
 
     /// Looks at what is at the target. `grace`: how long new calls may go there after it came into force.
-    pub fn look(&mut self, now: Micros, load: Load, grace: Micros, steps: &mut Vec<Step>) {
+    pub fn look(&mut self, now: Micros, load: Load, health: Health, grace: Micros, steps: &mut Vec<Step>) {
         if !self.state.in_force() {
             return;
         }
@@ -192,6 +198,13 @@
         self.peak.standing = self.peak.standing.max(load.standing);
         self.idle = if load.is_zero() { self.idle.or(Some(now)) } else { None };
         let empty = self.idle.is_some_and(|t| now - t >= EMPTY_AFTER);
+        if matches!(self.state, State::Shedding | State::Emptying) && !empty {
+            let tripped = self.guard.as_mut().and_then(|g| g.trips(now, health).then_some(g.before));
+            if let Some(before) = tripped {
+                steps.push(Step::Guarded(before, health.good));
+                return self.go(now, State::Restored, steps);
+            }
+        }
         match self.state {
             State::Shedding if now - self.since >= grace => self.go(now, State::Emptying, steps),
             State::Emptying | State::Expired | State::Failed if empty => self.go(now, State::Empty, steps),
@@ -248,7 +261,7 @@
     fn run(d: &mut Drain, looks: &[(Micros, Load)]) -> Vec<Step> {
         let mut steps = Vec::new();
         d.begin(0, &mut steps);
-        looks.iter().for_each(|&(now, load)| d.look(now, load, GRACE, &mut steps));
+        looks.iter().for_each(|&(now, load)| d.look(now, load, Health::default(), GRACE, &mut steps));
         steps
     }
 
@@ -278,7 +291,7 @@
         let mut d = drain(AtLimit::Cut, Some(5 * SECOND));
         run(&mut d, &busy);
         let mut steps = Vec::new();
-        d.look(5 * SECOND + CUT_WAIT, load(0, 1), GRACE, &mut steps);
+        d.look(5 * SECOND + CUT_WAIT, load(0, 1), Health::default(), GRACE, &mut steps);
         assert_eq!((steps.as_slice(), d.state.in_force()), (&[Step::To(State::Failed)][..], true));
     }
 }
--- a/crates/drains/src/impact.rs
+++ b/crates/drains/src/impact.rs
@@ -248,6 +248,9 @@
                 })
                 .to_vec()
         }
+        fn health(&self) -> crate::target::Health {
+            crate::target::Health::default()
+        }
         fn linked(&self, tandem: Exchange, to: Exchange) -> Option<bool> {
             Some((tandem, to) == (Exchange(1), Exchange(3)) || to != Exchange(3))
         }
--- a/crates/drains/src/lib.rs
+++ b/crates/drains/src/lib.rs
@@ -4,7 +4,8 @@
 //! A drain is state, not a flag: it is asked for, sheds new calls, empties, and is restored; it has a reason,
 //! somebody who asked, and a limit in time. [`book::Book`] holds all of them and every order that was given.
 //! [`impact`] tells beforehand what a drain would cost, [`policy`] turns down what must not be drained,
-//! [`windows`] starts and ends drains by the clock, and [`saved`] is the form that survives the program.
+//! [`windows`] starts and ends drains by the clock, [`guard`] ends one under which service falls, [`plan`] drains one
+//! after the other, and [`saved`] is the form that survives the program.
 //!
 //! Nothing here has a clock or does input or output, but for [`folder`], which keeps the saved form in files.
 //! What becomes of a single call is not decided here: the decision module is told what is out of service.
@@ -13,7 +14,9 @@
 pub mod book;
 pub mod drain;
 pub mod folder;
+pub mod guard;
 pub mod impact;
+pub mod plan;
 pub mod policy;
 pub mod saved;
 pub mod target;
--- /dev/null
+++ b/crates/drains/src/plan.rs
@@ -0,0 +1,265 @@
+//! A round of maintenance: exchanges or groups drained one after the other, each put back and seen to work before the
+//! next one goes.
+//!
+//! ```text
+//! draining --empty--> working --next, or its pause--> settling --warm and well--> the next one, or done
+//!     |                  |                                |
+//!     +--- turned down, expired, failed, ended by others, service worse than before: halted (nothing more is drained)
+//! ```
+//!
+//! A round that is halted leaves what is drained as it is, says why, and goes on when somebody says so.
+
+use crate::drain::{Order, State};
+use crate::guard::FEW;
+use crate::target::{Health, Target};
+use crate::{Micros, SECOND};
+use serde::{Deserialize, Serialize};
+
+/// The most targets of one round.
+pub const TARGETS: usize = 64;
+/// A target that came back must work for so long before the next one goes: a cold exchange is warm after 15 s (µs).
+pub const SETTLE: Micros = 20 * SECOND;
+/// A round that can't tell whether service is well again after so long is halted (µs).
+pub const SETTLE_MOST: Micros = 300 * SECOND;
+
+/// Where a round is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// The next target is about to be drained.
+    Next,
+    /// It is being drained, by this order.
+    Draining(Order),
+    /// It is empty, by this order: the work on it can be done.
+    Working(Order),
+    /// It is back, and is watched.
+    Settling,
+    /// Nothing more is done, for this reason.
+    Halted(String),
+    /// All targets were drained and came back.
+    Done,
+}
+
+impl Stage {
+    /// Its name.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Stage::Next => "next",
+            Stage::Draining(_) => "draining",
+            Stage::Working(_) => "working",
+            Stage::Settling => "settling",
+            Stage::Halted(_) => "halted",
+            Stage::Done => "done",
+        }
+    }
+}
+
+/// A round.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The order that began it.
+    pub order: Order,
+    /// What is drained, one after the other.
+    pub targets: Vec<Target>,
+    /// Which of them is at hand.
+    pub at: usize,
+    /// Where it is.
+    pub stage: Stage,
+    /// Since when (program's clock).
+    pub since: Micros,
+    /// Who asked.
+    pub who: String,
+    /// Why.
+    pub reason: String,
+    /// An empty target is put back by itself after so long; `None`: when somebody says so.
+    pub pause: Option<Micros>,
+    /// Share of calls that were well served before; a round never goes on with less, but for the margin.
+    pub before: f64,
+    /// That margin.
+    pub margin: f64,
+}
+
+/// What a round asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Drain this.
+    Drain(Target),
+    /// Put this back.
+    Undrain(Target),
+}
+
+impl Plan {
+    /// The target at hand, while there is one.
+    pub fn target(&self) -> Option<Target> {
+        (self.stage != Stage::Done).then(|| self.targets.get(self.at).copied()).flatten()
+    }
+
+    /// Whether it is over or waits for somebody.
+    pub fn rests(&self) -> bool {
+        matches!(self.stage, Stage::Halted(_) | Stage::Done)
+    }
+
+    /// Goes to another stage.
+    pub fn go(&mut self, now: Micros, stage: Stage) {
+        (self.stage, self.since) = (stage, now);
+    }
+
+    fn well(&self, health: Health) -> bool {
+        health.answered < FEW || health.good >= self.before - self.margin
+    }
+
+    /// Looks whether it can go on. `drain`: the state of the drain at hand; `None` if there is none any more.
+    /// Whatever it asks for must be told back by [`Plan::drained`] or [`Plan::go`].
+    pub fn look(&mut self, now: Micros, drain: Option<State>, health: Health) -> Option<Act> {
+        let target = self.target()?;
+        match self.stage {
+            Stage::Next if !self.well(health) => {
+                self.halt(
+                    now,
+                    format!(
+                        "calls fare worse than before the round: {:.0}% well served",
+                        health.good * 100.0
+                    ),
+                );
+                None
+            }
+            Stage::Next => Some(Act::Drain(target)),
+            Stage::Draining(order) => {
+                match drain {
+                    Some(State::Empty) => self.go(now, Stage::Working(order)),
+                    Some(State::Expired | State::Failed) => self.halt(now, format!("{target} did not empty")),
+                    None | Some(State::Restored) => {
+                        self.halt(now, format!("the drain of {target} was ended"))
+                    }
+                    Some(_) => {}
+                }
+                None
+            }
+            Stage::Working(_) => match drain {
+                // Somebody ended the drain by hand: that is as good as to say next.
+                None | Some(State::Restored) => {
+                    self.go(now, Stage::Settling);
+                    None
+                }
+                Some(_) if self.pause.is_some_and(|p| now - self.since >= p) => Some(Act::Undrain(target)),
+                Some(_) => None,
+            },
+            Stage::Settling => {
+                let (quiet, long) = (now - self.since >= SETTLE, now - self.since >= SETTLE_MOST);
+                if quiet && self.well(health) {
+                    self.at += 1;
+                    let last = self.at >= self.targets.len();
+                    self.go(now, if last { Stage::Done } else { Stage::Next });
+                } else if long {
+                    self.halt(now, format!("calls did not fare well again after {target} came back"));
+                }
+                None
+            }
+            Stage::Halted(_) | Stage::Done => None,
+        }
+    }
+
+    /// What became of the drain that was asked for.
+    pub fn drained(&mut self, now: Micros, how: Result<Order, String>) {
+        match how {
+            Ok(order) => self.go(now, Stage::Draining(order)),
+            Err(why) => self.halt(now, why),
+        }
+    }
+
+    /// Nothing more is done.
+    pub fn halt(&mut self, now: Micros, why: String) {
+        self.go(now, Stage::Halted(why));
+    }
+
+    /// Somebody says to go on: an empty target is put back, a round that was halted tries again.
+    pub fn next(&mut self, now: Micros, drain: Option<State>) -> Option<Act> {
+        match (&self.stage, drain) {
+            (Stage::Working(_), _) => self.target().map(Act::Undrain),
+            // What is drained still is looked at again, or put back if it is empty and had been worked on.
+            (Stage::Halted(_), Some(state)) if state != State::Restored => self.target().map(Act::Undrain),
+            (Stage::Halted(_), _) => {
+                self.go(now, Stage::Next);
+                None
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::target::Exchange;
+
+    const WELL: Health = Health { answered: 100, good: 0.99 };
+    const ILL: Health = Health { answered: 100, good: 0.7 };
+
+    fn plan(pause: Option<Micros>) -> Plan {
+        Plan {
+            order: 1,
+            targets: [1, 2].map(|n| Target::Exchange(Exchange(n))).to_vec(),
+            at: 0,
+            stage: Stage::Next,
+            since: 0,
+            who: "t".into(),
+            reason: String::new(),
+            pause,
+            before: 0.99,
+            margin: 0.05,
+        }
+    }
+
+    #[test]
+    fn one_after_the_other_each_seen_to_work_before_the_next() {
+        let mut p = plan(Some(5 * SECOND));
+        let mut now = 0;
+        for n in 1..=2 {
+            let target = Target::Exchange(Exchange(n));
+            assert_eq!(p.look(now, None, WELL), Some(Act::Drain(target)));
+            p.drained(now, Ok(10));
+            assert_eq!(p.look(now, Some(State::Emptying), WELL), None);
+            p.look(now, Some(State::Empty), WELL);
+            assert_eq!(p.stage, Stage::Working(10));
+            assert_eq!(p.look(now + 5 * SECOND - 1, Some(State::Empty), WELL), None);
+            now += 5 * SECOND;
+            assert_eq!(p.look(now, Some(State::Empty), WELL), Some(Act::Undrain(target)));
+            p.look(now, None, WELL);
+            assert_eq!(p.stage, Stage::Settling);
+            assert_eq!(p.look(now + SETTLE - 1, None, WELL), None);
+            p.look(now + SETTLE, None, ILL);
+            assert_eq!(p.stage, Stage::Settling, "not while calls fare badly");
+            now += SETTLE + SECOND;
+            p.look(now, None, WELL);
+        }
+        assert_eq!((p.stage.clone(), p.look(now, None, WELL)), (Stage::Done, None));
+    }
+
+    #[test]
+    fn whatever_goes_wrong_halts_it_and_it_goes_on_when_told() {
+        let halted = |p: &Plan| matches!(p.stage, Stage::Halted(_));
+        for (drain, health) in [
+            (Some(State::Expired), WELL),
+            (Some(State::Failed), WELL),
+            (None, WELL),
+            (Some(State::Restored), WELL),
+        ] {
+            let mut p = plan(None);
+            p.look(0, None, WELL);
+            p.drained(0, Ok(3));
+            p.look(0, drain, health);
+            assert!(halted(&p), "{drain:?}");
+            assert_eq!(p.look(SETTLE_MOST * 9, None, WELL), None, "it waits for somebody");
+        }
+        let mut p = plan(None);
+        p.look(0, None, ILL);
+        assert!(halted(&p));
+        assert_eq!(p.next(1, None), None);
+        assert!(p.look(1, None, WELL).is_some());
+        p.drained(1, Err("too many".into()));
+        assert_eq!(p.stage, Stage::Halted("too many".into()));
+        p.go(2, Stage::Settling);
+        p.look(2 + SETTLE_MOST, None, ILL);
+        assert!(halted(&p));
+    }
+}
--- a/crates/drains/src/policy.rs
+++ b/crates/drains/src/policy.rs
@@ -16,6 +16,10 @@
     pub longest: Micros,
     /// A drain that would push calls onto groups that then block more than this share of them is turned down.
     pub most_blocking: f64,
+    /// The guard of a drain acts when the share of calls that are well served falls by more than this; 1: never.
+    pub guard_margin: f64,
+    /// It watches for so long (µs).
+    pub guard_span: Micros,
     /// A reason must be given.
     pub reason_needed: bool,
     /// New calls may go to a drained exchange or group for this long after the drain came into force (µs); the
@@ -32,6 +36,8 @@
             usual_limit: None,
             longest: 7 * 24 * 3600 * SECOND,
             most_blocking: 0.05,
+            guard_margin: 0.1,
+            guard_span: 60 * SECOND,
             reason_needed: false,
             grace: 250_000,
             own_grace: 3 * SECOND,
@@ -96,6 +102,9 @@
     /// A request id came again with another command.
     #[error("request {0}: the same id was used for another command")]
     IdReused(String),
+    /// There is a round already, or none.
+    #[error("{0}")]
+    Round(&'static str),
     /// Another order ended this one before it was saved.
     #[error("order {0} of {1} came after this one and ended it")]
     Superseded(u64, String),
--- a/crates/drains/src/saved.rs
+++ b/crates/drains/src/saved.rs
@@ -9,6 +9,7 @@
 //! own files.
 
 use crate::drain::{AtLimit, Order, State};
+use crate::plan::Stage;
 use crate::target::Target;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
@@ -33,6 +34,9 @@
     /// Drains that are not over.
     #[serde(default)]
     pub drains: Vec<SavedDrain>,
+    /// The round of maintenance.
+    #[serde(default)]
+    pub plan: Option<SavedPlan>,
     /// Requests that were answered, oldest first.
     #[serde(default)]
     pub requests: Vec<Request>,
@@ -70,6 +74,27 @@
     pub window_start: Option<Micros>,
 }
 
+/// A round of maintenance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SavedPlan {
+    /// Its order.
+    pub order: Order,
+    /// What it drains.
+    pub targets: Vec<Target>,
+    /// Which is at hand.
+    pub at: usize,
+    /// Who asked.
+    pub who: String,
+    /// Why.
+    pub reason: String,
+    /// How long an empty target waits (µs).
+    pub pause: Option<Micros>,
+    /// Share of calls that were well served before.
+    pub before: f64,
+    /// Where it was.
+    pub stage: Stage,
+}
+
 /// A request by its id, and what was answered: the same one again acts no more.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
--- a/crates/drains/src/target.rs
+++ b/crates/drains/src/target.rs
@@ -90,12 +90,23 @@
     pub group: Option<(f64, f64)>,
 }
 
+/// How calls fare: those of the last seconds, but for those that were for what is drained.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Health {
+    /// Calls answered.
+    pub answered: u32,
+    /// Share of them that stand within the aim; 0 if there were none.
+    pub good: f64,
+}
+
 /// The site as it stands now; whoever runs a [`crate::book::Book`] shows it to it.
 pub trait Site {
     /// What is at a target.
     fn load(&self, target: Target) -> Load;
     /// The exchanges on the list, the own one left out.
     fn neighbours(&self) -> Vec<Neighbour>;
+    /// How calls fare.
+    fn health(&self) -> Health;
     /// Whether a tandem is known to have a group with a destination; `None` where nothing is known.
     fn linked(&self, tandem: Exchange, destination: Exchange) -> Option<bool>;
 }
--- a/crates/drains/tests/model.rs
+++ b/crates/drains/tests/model.rs
@@ -25,6 +25,8 @@
     Pass { ms: u16 },
     Jump { s: i16 },
     Saved { ok: bool },
+    Health { good: u8 },
+    Round { what: u8, targets: Vec<u8> },
     Restart,
 }
 
@@ -39,6 +41,8 @@
         1 => any::<i16>().prop_map(|s| Do::Jump { s }),
         4 => prop::bool::weighted(0.8).prop_map(|ok| Do::Saved { ok }),
         1 => Just(Do::Restart),
+        1 => prop_oneof![Just(100u8), Just(100), 0u8..100].prop_map(|good| Do::Health { good }),
+        3 => (0u8..4, prop::collection::vec(0u8..6, 0..4)).prop_map(|(what, targets)| Do::Round { what, targets }),
     ];
     prop::collection::vec(one, 1..120)
 }
@@ -55,6 +59,7 @@
 struct World {
     calls: BTreeMap<Target, u32>,
     ready: BTreeMap<u16, bool>,
+    good: f64,
 }
 
 impl Site for World {
@@ -65,6 +70,9 @@
         let of = |(&n, &ready)| Neighbour { exchange: Exchange(n), ready, group: Some((9.0, 10.0)) };
         self.ready.iter().map(of).collect()
     }
+    fn health(&self) -> Health {
+        Health { answered: 100, good: self.good }
+    }
     fn linked(&self, _: Exchange, _: Exchange) -> Option<bool> {
         Some(true)
     }
@@ -101,7 +109,7 @@
 
 impl Run {
     fn new() -> Run {
-        let world = World { calls: BTreeMap::new(), ready: (1..=3).map(|n| (n, true)).collect() };
+        let world = World { ready: (1..=3).map(|n| (n, true)).collect(), good: 1.0, ..World::default() };
         Run {
             book: book(),
             world,
@@ -145,6 +153,21 @@
                 let ask = Ask { request, who: "t".into(), command };
                 self.book.order(now, ask, Some(self.waiters), &quiet, &self.world);
             }
+            Do::Health { good } => self.world.good = f64::from(good) / 100.0,
+            Do::Round { what, targets } => {
+                let targets = targets.into_iter().map(target).collect();
+                let command = match what {
+                    0 => Command::Round { targets, reason: String::new(), pause: Some(SECOND) },
+                    1 => Command::Round { targets, reason: String::new(), pause: None },
+                    2 => Command::Next,
+                    _ => Command::Halt,
+                };
+                self.waiters += 1;
+                self.waiting.insert(self.waiters);
+                self.asked.insert(self.waiters, String::new());
+                let ask = Ask { request: String::new(), who: "t".into(), command };
+                self.book.order(now, ask, Some(self.waiters), &quiet, &self.world);
+            }
             // The ledger's rule: nothing new once the grace is over.
             Do::Call { target: n } => {
                 let t = target(n);
@@ -253,6 +276,14 @@
             }
             assert!((0.0..=1.0).contains(&d.progress()), "{d:?}");
         }
+        if let Some(p) = self.book.plan() {
+            // A round never has more than the one target at hand drained by itself, and knows which.
+            assert!(p.at <= p.targets.len() && (p.at < p.targets.len()) == p.target().is_some(), "{p:?}");
+            let by_round =
+                self.book.drains().iter().filter(|d| d.reason.starts_with(&format!("round {} ", p.order)));
+            let ours: Vec<Target> = by_round.map(|d| d.target).collect();
+            assert!(p.rests() || ours.len() <= 1, "{ours:?}");
+        }
         assert!(self.book.audit().count() <= AUDIT && self.book.over().count() <= OVER);
     }
 
@@ -390,3 +421,51 @@
     run.step(Do::Pass { ms: 3000 });
     assert!(run.book.drains().is_empty());
 }
+
+#[test]
+fn the_guard_puts_back_what_makes_calls_fare_worse_but_never_what_is_empty() {
+    for empty in [false, true] {
+        let mut run = Run::new();
+        // Far from the window.
+        run.wall += 10_000 * SECOND;
+        run.world.calls.insert(Target::Exchange(Exchange(1)), u32::from(!empty));
+        order(&mut run, "a", drain_1());
+        run.take();
+        let n = run.saving[0].0;
+        run.book.saved(run.now(), n, Ok(()));
+        run.step(Do::Pass { ms: 2000 });
+        run.world.good = 0.5;
+        for _ in 0..4 {
+            run.step(Do::Pass { ms: 2000 });
+        }
+        assert_eq!(run.book.drains().is_empty(), !empty);
+    }
+}
+
+#[test]
+fn a_round_goes_on_at_the_word_and_where_it_was_after_a_restart() {
+    let mut run = Run::new();
+    run.wall += 10_000 * SECOND;
+    let targets = vec![Target::Exchange(Exchange(1)), Target::Group(Exchange(3))];
+    order(&mut run, "a", Command::Round { targets: targets.clone(), reason: String::new(), pause: None });
+    run.step(Do::Pass { ms: 3000 });
+    run.step(Do::Pass { ms: 3000 });
+    let stage = |run: &Run| run.book.plan().unwrap().stage.name();
+    assert_eq!(stage(&run), "working");
+    let saved = run.saving.last().unwrap().1.clone();
+    run.book = book();
+    run.out.clear();
+    run.book.resume(run.now(), saved);
+    run.take();
+    assert_eq!((stage(&run), run.book.drains().len()), ("working", 1));
+    order(&mut run, "b", Command::Next);
+    run.step(Do::Pass { ms: 3000 });
+    assert_eq!((stage(&run), run.book.drains().len()), ("settling", 0));
+    for _ in 0..9 {
+        run.step(Do::Pass { ms: 3000 });
+    }
+    assert_eq!((run.book.plan().unwrap().at, run.book.drains()[0].target), (1, targets[1]));
+    order(&mut run, "c", Command::Halt);
+    run.step(Do::Pass { ms: 3000 });
+    assert_eq!((stage(&run), run.book.drains().len()), ("halted", 1), "what is drained stays so");
+}
--- /dev/null
+++ b/examples/console_cost.rs
@@ -0,0 +1,169 @@
+//! What consoles cost: CPU a call and answer times of a program under an even load, with none, one and eight programs
+//! that watch everything, one of the eight reading nothing. `--program` names the executable, so that an earlier
+//! build can be measured by the same means; one without a control socket is measured without consoles only.
+//!
+//! `cargo run --release --example console_cost -- --seconds 15`
+
+use clap::Parser;
+use serde_json::json;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use walnuthatch_control::client::Connection;
+use walnuthatch_control::frames::{Ask, TOPICS};
+use walnuthatch_standin::{Callers, Exchange, Load, Traits};
+
+#[derive(Parser)]
+struct Args {
+    /// The executable
+    #[arg(long, default_value = "target/release/walnuthatch")]
+    program: PathBuf,
+    /// What its rows are called
+    #[arg(long, default_value = "this build")]
+    label: String,
+    /// Calls a second
+    #[arg(long, value_delimiter = ',', default_value = "100,600")]
+    rates: Vec<f64>,
+    /// Consoles; of eight or more one reads nothing
+    #[arg(long, value_delimiter = ',', default_value = "0,1,8")]
+    consoles: Vec<usize>,
+    /// For how long each is measured
+    #[arg(long, default_value_t = 15)]
+    seconds: u64,
+    /// The program has no control socket
+    #[arg(long)]
+    plain: bool,
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Failure> {
+    let args = Args::parse();
+    println!(
+        "| build | calls/s | consoles | µs CPU a call | CPU | p50 ms | p99 ms | p99.9 ms | not in aim | MB |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for &rate in &args.rates {
+        for &consoles in &args.consoles {
+            run(&args, rate, consoles)?;
+        }
+    }
+    Ok(())
+}
+
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+/// CPU time of all threads of a process (ns).
+fn cpu(pid: u32) -> Result<u64, Failure> {
+    let mut sum = 0;
+    for task in std::fs::read_dir(format!("/proc/{pid}/task"))? {
+        let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
+        sum += text.split(' ').next().unwrap_or_default().parse::<u64>()?;
+    }
+    Ok(sum)
+}
+
+fn memory_mb(pid: u32) -> Result<f64, Failure> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find(|l| l.starts_with("VmRSS:")).ok_or("no VmRSS")?;
+    Ok(line.split_whitespace().nth(1).ok_or("no figure")?.parse::<f64>()? / 1024.0)
+}
+
+fn start(args: &Args, folder: &Path, exchanges: &[Exchange]) -> Result<(Ended, SocketAddr), Failure> {
+    let member = |(n, e): (usize, &Exchange)| json!({"id": format!("s-{n}"), "host_port": e.address().to_string(), "cell": n + 1, "phase": "up"});
+    let members: Vec<_> = exchanges.iter().enumerate().map(member).collect();
+    let settings = json!({
+        "classes": [{"name": "status-report", "aim": 1200.0, "giveUp": 9000.0, "effect": "retryable"}],
+        "extra": {"ownExchange": 0, "release": 500.0, "shape": "meshed"},
+        "limits": {"tryLimit": 4, "mayCancel": true, "maxRetryAfter": 2000.0, "connectTimeout": 500.0},
+        "rules": {"stopSendingWithin": 250.0, "cold": 15000.0, "coldFrom": 0.35, "fall": 2000.0,
+                  "overloadFactor": 2.5},
+        "tick": 5.0
+    });
+    let config = json!({
+        "name": "cost", "listen": "127.0.0.1:0", "seed": "1", "limits": {"sockets": 1024}, "settings": settings,
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"complete": true, "members": members}}]}
+    });
+    std::fs::create_dir_all(folder)?;
+    let (config_file, appliance) = (folder.join("config.json"), folder.join("appliance.toml"));
+    std::fs::write(&config_file, config.to_string())?;
+    std::fs::write(&appliance, format!("enabled = true\n[control]\nsocket = {:?}\n", folder.join("s")))?;
+    let mut command = Command::new(&args.program);
+    command.arg("--config").arg(&config_file);
+    if !args.plain {
+        command.arg("--appliance").arg(&appliance);
+    }
+    let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+    let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
+    let child = Ended(child);
+    let mut callers = None;
+    for line in lines.by_ref().map_while(Result::ok) {
+        if let Some(at) = line.strip_prefix("walnuthatch: callers at ") {
+            callers = Some(at.parse()?);
+        }
+        if callers.is_some() && (args.plain || line.contains("control socket at")) {
+            break;
+        }
+    }
+    std::thread::spawn(move || lines.for_each(drop));
+    Ok((child, callers.ok_or("it did not start")?))
+}
+
+fn run(args: &Args, rate: f64, consoles: usize) -> Result<(), Failure> {
+    let folder = std::env::temp_dir().join(format!("wh-cost-{}", std::process::id()));
+    let hold = Duration::from_secs(1);
+    let traits = |seed| Traits { circuits: (rate * 2.0) as u32, delay: Duration::from_millis(5), hold, seed };
+    let exchanges = (0..4).map(|n| Exchange::start(None, traits(n))).collect::<Result<Vec<_>, _>>()?;
+    let (child, at) = start(args, &folder, &exchanges)?;
+    std::thread::sleep(Duration::from_millis(1500));
+    let mut frozen = Vec::new();
+    for n in 0..consoles {
+        let mut c = Connection::open(&folder.join("s"), "cost")?;
+        let watch = Ask::Watch { topics: TOPICS.to_vec(), every_ms: 500, search: String::new() };
+        c.send("w", watch)?;
+        if n == 7 {
+            frozen.push(c);
+        } else {
+            std::thread::spawn(move || while c.receive().is_ok() {});
+        }
+    }
+    let load = |seconds| Load {
+        rate,
+        span: Duration::from_secs(seconds),
+        destinations: vec![1, 2, 3, 4],
+        class: "status-report".into(),
+        patience: Duration::from_secs(3),
+        aim: Duration::from_millis(1200),
+        connections: 8,
+        seed: 7,
+    };
+    Callers::start(at, load(3))?.finish();
+    let before = cpu(child.0.id())?;
+    let table = Callers::start(at, load(args.seconds))?.finish();
+    let spent = cpu(child.0.id())? - before;
+    let ms = |q| table.answers.value_at_quantile(q) as f64 / 1000.0;
+    println!(
+        "| {} | {rate} | {consoles}{} | {:.0} | {:.1}% | {:.2} | {:.2} | {:.2} | {} | {:.1} |",
+        args.label,
+        if frozen.is_empty() { "" } else { ", 1 frozen" },
+        spent as f64 / 1000.0 / table.offered as f64,
+        spent as f64 / 1e7 / args.seconds as f64,
+        ms(0.5),
+        ms(0.99),
+        ms(0.999),
+        table.late + table.refused + table.failed + table.unanswered,
+        memory_mb(child.0.id())?,
+    );
+    drop(child);
+    drop(std::fs::remove_dir_all(&folder));
+    Ok(())
+}
--- a/src/program/alarms.rs
+++ b/src/program/alarms.rs
@@ -5,6 +5,7 @@
 use crate::routing::interface::Micros;
 use walnuthatch_drains::book::Book;
 use walnuthatch_drains::drain::State;
+use walnuthatch_drains::plan::Stage;
 use walnuthatch_figures::alarms::{Key, Rule, Severity};
 use walnuthatch_figures::service::Service;
 
@@ -87,6 +88,11 @@
         let text = "it is open, and its drain was turned down: see the events".to_owned();
         add("window", w.name.clone(), f64::from(u8::from(denied)), at_once(Severity::Warning), text);
     }
+    if let Some(Stage::Halted(why)) = book.plan().map(|p| &p.stage) {
+        // One that somebody halted is known to be.
+        let by_itself = f64::from(u8::from(!why.starts_with("halted by")));
+        add("round", String::new(), by_itself, at_once(Severity::Warning), format!("halted: {why}"));
+    }
     let text = "drains that are in force would not survive a restart".to_owned();
     add("unsaved", String::new(), f64::from(u8::from(book.unsaved())), at_once(Severity::Warning), text);
     out
--- a/src/program/appliance.rs
+++ b/src/program/appliance.rs
@@ -20,8 +20,9 @@
 use walnuthatch_drains::book::{self, Book, Command, News, Waiter};
 use walnuthatch_drains::drain::{AtLimit, Drain, State};
 use walnuthatch_drains::impact::Traffic;
+use walnuthatch_drains::plan::{Plan, Stage};
 use walnuthatch_drains::saved::Saved;
-use walnuthatch_drains::target::{Exchange, Now, Site, Target};
+use walnuthatch_drains::target::{Exchange, Health, Now, Site, Target};
 use walnuthatch_drains::SECOND;
 use walnuthatch_figures::alarms::{Alarms, Change};
 use walnuthatch_figures::delays::{Delays, Exchanges, Quantiles};
@@ -275,9 +276,9 @@
             return;
         }
         let whole = now.steady - self.second >= SECOND;
-        if whole || !self.book.drains().is_empty() {
+        if whole || !self.quiet() {
             let links = std::mem::take(&mut self.links);
-            let site = scene.loads().with_links(&links);
+            let site = scene.loads().with(&links, self.health());
             self.book.look(now, &self.traffic, &site);
             if whole {
                 self.each_second(now, scene, &site);
@@ -331,11 +332,24 @@
         self.out.push(Output::Reopen);
     }
 
+    /// How calls fare that are not for what is drained.
+    fn health(&self) -> Health {
+        let short = self.service.windows()[0];
+        let answered = short.answered() - short.of(Fate::Drained);
+        let good = if answered > 0 { f64::from(short.of(Fate::InAim)) / f64::from(answered) } else { 0.0 };
+        Health { answered, good }
+    }
+
     // ---- What follows ----
 
+    /// Nothing is drained, and no round is under way.
+    fn quiet(&self) -> bool {
+        self.book.drains().is_empty() && self.book.plan().is_none_or(Plan::rests)
+    }
+
     fn plan(&mut self, now: Now) {
         let views = self.sessions.next_due().unwrap_or(Micros::MAX);
-        let drains = if self.book.drains().is_empty() { Micros::MAX } else { self.book.next_look(now) };
+        let drains = if self.quiet() { Micros::MAX } else { self.book.next_look(now) };
         let want = views.min(drains).min(self.second + SECOND).max(now.steady + 1);
         if want < self.next || self.next <= now.steady {
             self.next = want;
@@ -459,6 +473,18 @@
                 Err(e) => Err(e),
                 Ok(target) => return self.order(now, client, id, who, Command::Undrain { target }, scene),
             },
+            Ask::Round { targets, reason, pause_s } => {
+                match targets.iter().map(|t| target(t)).collect::<Result<Vec<_>, _>>() {
+                    Err(e) => Err(e),
+                    Ok(targets) => {
+                        let pause = pause_s.map(|s| Micros::from(s) * SECOND);
+                        let command = Command::Round { targets, reason, pause };
+                        return self.order(now, client, id, who, command, scene);
+                    }
+                }
+            }
+            Ask::Next => return self.order(now, client, id, who, Command::Next, scene),
+            Ask::Halt => return self.order(now, client, id, who, Command::Halt, scene),
             // Sessions answer these themselves.
             Ask::Watch { .. } | Ask::Unwatch => return,
         };
@@ -479,7 +505,7 @@
         self.waiters.insert(waiter, (client, id.clone()));
         let ask = book::Ask { request: id, who, command };
         let links = std::mem::take(&mut self.links);
-        let site = scene.loads().with_links(&links);
+        let site = scene.loads().with(&links, self.health());
         self.book.order(now, ask, Some(waiter), &self.traffic, &site);
         drop(site);
         self.links = links;
@@ -510,6 +536,7 @@
                 drains: self.book.drains().iter().map(|d| drain_view(now, d)).collect(),
                 over: self.book.over().map(|d| drain_view(now, d)).collect(),
                 windows: self.windows(now),
+                round: self.book.plan().map(|p| round_view(now, p)),
             },
             Topic::Alarms => {
                 let of =
@@ -615,7 +642,7 @@
     }
 
     fn cost(&self, now: Now, target: Target, scene: &Scene<'_>) -> Body {
-        let site = scene.loads().with_links(&self.links);
+        let site = scene.loads().with(&self.links, self.health());
         let c = self.book.cost(now, target, &self.traffic, &site);
         let denied = self.book.dry_run(now, target, false, &self.traffic, &site).err();
         Body::Cost(views::Cost {
@@ -673,6 +700,19 @@
     }
 }
 
+fn round_view(now: Now, p: &Plan) -> views::Round {
+    views::Round {
+        order: p.order,
+        targets: p.targets.iter().map(Target::to_string).collect(),
+        done: p.at,
+        stage: p.stage.name().to_owned(),
+        halted: if let Stage::Halted(why) = &p.stage { why.clone() } else { String::new() },
+        for_s: seconds(now.steady - p.since),
+        who: p.who.clone(),
+        reason: p.reason.clone(),
+    }
+}
+
 /// Of which kind a piece of news is, and its words.
 fn told(news: &News) -> (&'static str, String) {
     match news {
@@ -685,6 +725,19 @@
                 load.out
             ),
         ),
+        News::Guarded { target, before, now } => (
+            "drain",
+            format!(
+                "{target}: put back by its guard: {:.0}% of calls are well served, where it was {:.0}%",
+                now * 100.0,
+                before * 100.0
+            ),
+        ),
+        News::Round { target, stage } => {
+            let at = target.map_or(String::new(), |t| format!(" at {t}"));
+            let why = if let Stage::Halted(why) = stage { format!(": {why}") } else { String::new() };
+            ("round", format!("{}{at}{why}", stage.name()))
+        }
         News::WindowDenied { window, why } => ("window", format!("{window} could not begin: {why}")),
         News::Unsaved(why) => ("state", format!("not saved: {why}")),
         News::SavedAgain => ("state", "saved again".to_owned()),
--- a/src/program/appliance_file.rs
+++ b/src/program/appliance_file.rs
@@ -111,6 +111,12 @@
     /// Share of calls that a remaining group may block by estimate.
     #[schemars(range(min = 0.0, max = 1.0))]
     pub most_blocking: Option<f64>,
+    /// A drain ends by itself if the share of calls well served falls by more than this as it takes hold; 1: never.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub guard_margin: Option<f64>,
+    /// For how long that is watched (s).
+    #[schemars(range(min = 0, max = 3600))]
+    pub guard_s: Option<u32>,
     /// Whether a reason must be given.
     pub reason_needed: Option<bool>,
     /// How long this controller takes calls after its own drain has begun (ms).
@@ -536,6 +542,8 @@
         usual_limit,
         longest,
         most_blocking: d.most_blocking.unwrap_or(usual.most_blocking),
+        guard_margin: d.guard_margin.unwrap_or(usual.guard_margin),
+        guard_span: d.guard_s.map_or(usual.guard_span, |s| Micros::from(s) * SECOND),
         reason_needed: d.reason_needed.unwrap_or(usual.reason_needed),
         own_grace: d.own_grace_ms.map_or(usual.own_grace, |ms| Micros::from(ms) * 1000),
         ..usual
--- a/src/program/ctl.rs
+++ b/src/program/ctl.rs
@@ -99,6 +99,22 @@
         #[arg(long, value_name = "ID")]
         id: Option<String>,
     },
+    /// Drain one after the other, each put back and seen to work before the next one goes
+    Round {
+        /// exchange:NUMBER or group:NUMBER, in this order
+        #[arg(required = true)]
+        targets: Vec<Target>,
+        /// Why, for the audit log
+        #[arg(long, default_value = "")]
+        reason: String,
+        /// Put an empty one back after so long, as 5m; without it: at the word next
+        #[arg(long, value_name = "SPAN")]
+        pause: Option<jiff::SignedDuration>,
+    },
+    /// The round goes on: the work on what is empty is done, or what halted it is mended
+    Next,
+    /// The round ends here; what is drained stays so
+    Halt,
     /// The alarms, the gravest first
     Alarms,
     /// An alarm was seen
@@ -149,6 +165,11 @@
     }
 }
 
+/// A span in whole seconds.
+fn whole(span: jiff::SignedDuration) -> u32 {
+    u32::try_from(span.as_secs().max(0)).unwrap_or(u32::MAX)
+}
+
 /// An id that no other request has.
 pub fn fresh_id() -> String {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -172,9 +193,15 @@
         What::Log { level } => Ask::Log { filter: level },
         What::Seen { alarm } => Ask::Seen { alarm: alarm.join(" ") },
         What::Stop => Ask::Stop,
+        What::Round { targets, reason, pause } => {
+            let targets = targets.iter().map(Target::to_string).collect();
+            Ask::Round { targets, reason, pause_s: pause.map(whole) }
+        }
+        What::Next => Ask::Next,
+        What::Halt => Ask::Halt,
         What::Drain { target, dry_run: true, .. } => Ask::Cost { target: target.to_string() },
         What::Drain { target, reason, limit, at_limit, force, wait, id, .. } => {
-            let limit_s = limit.map(|l| u32::try_from(l.as_secs().max(0)).unwrap_or(u32::MAX));
+            let limit_s = limit.map(whole);
             let at_limit = match at_limit {
                 Limit::Keep => AtLimit::Keep,
                 Limit::Restore => AtLimit::Restore,
@@ -344,7 +371,7 @@
                 s.p50_ms, s.p99_ms, s.p999_ms
             )
         }
-        Body::Drains { drains, over, windows } => {
+        Body::Drains { drains, over, windows, round } => {
             let rows = drains.iter().chain(over).map(|d| {
                 [
                     d.order.to_string(),
@@ -358,6 +385,9 @@
                 ]
             });
             let mut out = table(["ORDER", "TARGET", "STATE", "DONE", "LEFT", "LIMIT", "WHO", "WHY"], rows);
+            if let Some(r) = round {
+                out += &format!("\n{}", round_line(r));
+            }
             for w in windows {
                 let next = w.next_at_ms.map_or("never again".to_owned(), moment);
                 let state = if w.open { "open" } else { "closed" };
@@ -426,3 +456,18 @@
         .as_ref()
         .map_or("it would be taken".to_owned(), |d| format!("it would be turned down: {d}"))
 }
+
+/// A round on one line.
+fn round_line(r: &walnuthatch_control::views::Round) -> String {
+    let why = if r.halted.is_empty() { String::new() } else { format!(" ({})", r.halted) };
+    format!(
+        "round {} of {}: {} of {} done, {}{why} for {} s: {}",
+        r.order,
+        r.who,
+        r.done,
+        r.targets.len(),
+        r.stage,
+        r.for_s,
+        r.targets.join(" ")
+    )
+}
--- a/src/program/views.rs
+++ b/src/program/views.rs
@@ -7,9 +7,9 @@
 use crate::protocol::mgcp::agent::Agent;
 use crate::routing::interface::{ExchangeNo, ListState, Micros, OfficeId};
 use crate::routing::ledger::{CallView, Ledger};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use walnuthatch_control::views::{Call, Exchange, Status};
-use walnuthatch_drains::target::{self, Load, Neighbour, Site, Target};
+use walnuthatch_drains::target::{self, Health, Load, Neighbour, Site, Target};
 
 /// Calls shown at most.
 pub const CALLS: usize = 500;
@@ -142,7 +142,7 @@
 
     /// What is at each exchange.
     pub fn loads(&self) -> Loads<'_> {
-        Loads { scene: self, loads: self.ledger.loads(), links: None }
+        Loads { scene: self, loads: self.ledger.loads(), links: None, health: Health::default() }
     }
 }
 
@@ -162,13 +162,14 @@
 pub struct Loads<'a> {
     scene: &'a Scene<'a>,
     loads: BTreeMap<(ExchangeNo, ExchangeNo), (u32, u32)>,
-    links: Option<&'a std::collections::BTreeSet<(ExchangeNo, ExchangeNo)>>,
+    links: Option<&'a BTreeSet<(ExchangeNo, ExchangeNo)>>,
+    health: Health,
 }
 
 impl<'a> Loads<'a> {
-    /// With what is known of the groups between other exchanges.
-    pub fn with_links(self, links: &'a std::collections::BTreeSet<(ExchangeNo, ExchangeNo)>) -> Self {
-        Loads { links: Some(links), ..self }
+    /// With what is known of the groups between other exchanges, and how calls fare.
+    pub fn with(self, links: &'a BTreeSet<(ExchangeNo, ExchangeNo)>, health: Health) -> Self {
+        Loads { links: Some(links), health, ..self }
     }
 
     /// Calls that stand, by first leg and destination.
@@ -210,6 +211,10 @@
         all.into_values().collect()
     }
 
+    fn health(&self) -> Health {
+        self.health
+    }
+
     fn linked(&self, tandem: target::Exchange, to: target::Exchange) -> Option<bool> {
         let links = self.links.filter(|l| !l.is_empty())?;
         Some(links.contains(&(ExchangeNo(tandem.0), ExchangeNo(to.0))))
--- a/tests/appliance.rs
+++ b/tests/appliance.rs
@@ -545,3 +545,23 @@
     let offered = text.lines().nth(1).and_then(|l| l.split_whitespace().next()).unwrap();
     assert_eq!(offered, "100");
 }
+
+#[test]
+fn a_round_drains_one_after_the_other_at_the_operators_word() {
+    let site = Site::new(2, Duration::from_millis(300), "");
+    let (_program, _) = site.up();
+    let mut c = site.operator();
+    let targets = vec!["exchange:1".to_owned(), "exchange:2".to_owned()];
+    let round = Ask::Round { targets, reason: "update".into(), pause_s: None };
+    c.ask("r", round.clone()).unwrap();
+    let stage = |c: &mut Connection| {
+        let Body::Drains { round, .. } = show(c, Topic::Drains) else { panic!() };
+        round.unwrap().stage
+    };
+    until("the first one is empty", || (stage(&mut c) == "working").then_some(()));
+    assert!(c.ask("r2", round).unwrap_err().to_string().contains("under way"));
+    c.ask("n", Ask::Next).unwrap();
+    assert_eq!((stage(&mut c).as_str(), drains(&mut c).len()), ("settling", 0));
+    c.ask("h", Ask::Halt).unwrap();
+    assert_eq!(stage(&mut c), "halted");
+}
