--- /dev/null
+++ b/crates/gossip/src/seal.rs
@@ -0,0 +1,193 @@
+//! Authentication: HMAC-SHA256 (RFC 2104, RFC 6234) cut to 96 bits, with a ring of keys.
+//!
+//! A key is known by a number. One key of the ring seals, all of them open, so that keys are replaced without dropping
+//! a peer: first every instance is given the new key, then each seals with it, then the old one is taken away. Keys
+//! come from a file that nobody but its owner may read, are wiped from memory when they are dropped, and are never
+//! shown.
+
+use crate::wire::SEAL;
+use hmac::{Hmac, KeyInit, Mac};
+use serde::Deserialize;
+use sha2::Sha256;
+use std::collections::BTreeMap;
+use std::fmt;
+use zeroize::Zeroizing;
+
+/// The shortest secret that is taken (bytes): as long as the hash, as RFC 2104 advises.
+pub const SECRET: usize = 32;
+/// Keys that a ring may hold: the old, the one in use, the next, and one to spare.
+pub const KEYS: usize = 4;
+
+/// Why a ring of keys is of no use.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// It is not of the form. Nothing of its contents is told.
+    #[error("not a ring of keys: expected [[key]] blocks with id, secret (64 hex digits) and, for one of them, seals = true")]
+    Form,
+    /// A secret is too short, or not in hex.
+    #[error("key.{0}.secret: expected 64 hex digits")]
+    Secret(u8),
+    /// A number is there twice.
+    #[error("key.{0}.id: there twice")]
+    Twice(u8),
+    /// None, or more than one, seals.
+    #[error("seals: expected true for one key, found it for {0}")]
+    Seals(usize),
+    /// Too many.
+    #[error("{0} keys, expected 1 to {KEYS}")]
+    Many(usize),
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RingFile {
+    key: Vec<KeyFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeyFile {
+    id: u8,
+    secret: Zeroizing<String>,
+    #[serde(default)]
+    seals: bool,
+}
+
+/// A ring of keys.
+#[derive(Clone)]
+pub struct Ring {
+    keys: BTreeMap<u8, Zeroizing<Vec<u8>>>,
+    seals: u8,
+}
+
+impl fmt::Debug for Ring {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The secrets are nobody's to see.
+        write!(f, "Ring {{ keys: {:?}, seals: {} }}", self.keys.keys().collect::<Vec<_>>(), self.seals)
+    }
+}
+
+impl PartialEq for Ring {
+    fn eq(&self, other: &Ring) -> bool {
+        self.seals == other.seals && self.keys.keys().eq(other.keys.keys())
+    }
+}
+
+impl Ring {
+    /// Reads the text of a key file.
+    ///
+    /// # Errors
+    /// Says what is wrong, without showing any of it.
+    pub fn read(text: &str) -> Result<Ring, KeyError> {
+        let file: RingFile = toml::from_str(text).map_err(|_| KeyError::Form)?;
+        if !(1..=KEYS).contains(&file.key.len()) {
+            return Err(KeyError::Many(file.key.len()));
+        }
+        let sealing: Vec<u8> = file.key.iter().filter(|k| k.seals).map(|k| k.id).collect();
+        let &[seals] = sealing.as_slice() else { return Err(KeyError::Seals(sealing.len())) };
+        let mut keys = BTreeMap::new();
+        for k in &file.key {
+            let secret = hex(&k.secret).filter(|s| s.len() >= SECRET).ok_or(KeyError::Secret(k.id))?;
+            if keys.insert(k.id, secret).is_some() {
+                return Err(KeyError::Twice(k.id));
+            }
+        }
+        Ok(Ring { keys, seals })
+    }
+
+    /// The key that seals.
+    pub fn sealing(&self) -> u8 {
+        self.seals
+    }
+
+    /// The numbers of all keys.
+    pub fn ids(&self) -> impl Iterator<Item = u8> + '_ {
+        self.keys.keys().copied()
+    }
+
+    fn mac(&self, key: u8) -> Option<Hmac<Sha256>> {
+        // HMAC takes a key of any length.
+        Hmac::new_from_slice(self.keys.get(&key)?).ok()
+    }
+
+    /// Adds the seal to a datagram that names the sealing key.
+    pub fn seal(&self, mut bytes: Vec<u8>) -> Vec<u8> {
+        if let Some(mut mac) = self.mac(self.seals) {
+            mac.update(&bytes);
+            bytes.extend(&mac.finalize().into_bytes()[..SEAL]);
+        }
+        bytes
+    }
+
+    /// Whether a datagram was sealed with that key; compared in the same time wherever a difference is.
+    pub fn opens(&self, key: u8, bytes: &[u8]) -> bool {
+        let Some(mut mac) = self.mac(key) else { return false };
+        let Some((body, seal)) = bytes.split_last_chunk::<SEAL>() else { return false };
+        mac.update(body);
+        mac.verify_truncated_left(seal).is_ok()
+    }
+}
+
+fn hex(text: &str) -> Option<Zeroizing<Vec<u8>>> {
+    let digits: Vec<u8> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect::<Option<_>>()?;
+    let (digits, even) = (Zeroizing::new(digits), text.len().is_multiple_of(2));
+    even.then(|| Zeroizing::new(digits.chunks(2).map(|p| p[0] << 4 | p[1]).collect()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ring(keys: &[(u8, char, bool)]) -> Result<Ring, KeyError> {
+        let block = |(id, digit, seals): &(u8, char, bool)| {
+            format!("[[key]]\nid = {id}\nsecret = \"{}\"\nseals = {seals}\n", digit.to_string().repeat(64))
+        };
+        Ring::read(&keys.iter().map(block).collect::<String>())
+    }
+
+    #[test]
+    fn a_key_is_replaced_in_three_steps_and_peers_understand_each_other_in_each() {
+        let steps = [
+            ring(&[(1, 'a', true)]),
+            ring(&[(1, 'a', true), (2, 'b', false)]),
+            ring(&[(1, 'a', false), (2, 'b', true)]),
+            ring(&[(2, 'b', true)]),
+        ]
+        .map(Result::unwrap);
+        for pair in steps.windows(2) {
+            for (from, to) in [(&pair[0], &pair[1]), (&pair[1], &pair[0])] {
+                let sealed = from.seal(b"hello".to_vec());
+                assert!(to.opens(from.sealing(), &sealed));
+            }
+        }
+        // A key that was taken away opens nothing any more.
+        assert!(!steps[3].opens(1, &steps[0].seal(b"hello".to_vec())));
+    }
+
+    #[test]
+    fn one_flipped_bit_anywhere_or_another_key_of_that_number_does_not_open() {
+        let r = ring(&[(1, 'a', true)]).unwrap();
+        let sealed = r.seal(b"some words".to_vec());
+        for bit in 0..sealed.len() * 8 {
+            let mut spoilt = sealed.clone();
+            spoilt[bit / 8] ^= 1 << (bit % 8);
+            assert!(!r.opens(1, &spoilt));
+        }
+        assert!(r.opens(1, &sealed) && !ring(&[(1, 'c', true)]).unwrap().opens(1, &sealed));
+        assert!(!r.opens(1, b"") && !r.opens(9, &sealed));
+    }
+
+    #[test]
+    fn faults_are_named_and_no_secret_is_shown() {
+        assert_eq!(ring(&[(1, 'a', false)]), Err(KeyError::Seals(0)));
+        assert_eq!(ring(&[(1, 'a', true), (2, 'b', true)]), Err(KeyError::Seals(2)));
+        assert_eq!(ring(&[(1, 'a', true), (1, 'b', false)]), Err(KeyError::Twice(1)));
+        assert_eq!(ring(&[(1, 'g', true)]), Err(KeyError::Secret(1)));
+        assert_eq!(ring(&[]).unwrap_err(), KeyError::Form);
+        let short = Ring::read("[[key]]\nid = 3\nsecret = \"abcd\"\nseals = true\n");
+        assert_eq!(short, Err(KeyError::Secret(3)));
+        let text = "[[key]]\nid = 3\nsecrt = \"deadbeef\"\n";
+        assert!(!Ring::read(text).unwrap_err().to_string().contains("deadbeef"));
+        assert!(!format!("{:?}", ring(&[(1, 'a', true)]).unwrap()).contains("aa"));
+    }
+}
