Wire gossip into the program: suspicions reach the decision module, peers speak for one exchange

What other instances measure has to reach routing, and an unsigned message of a peer could speak for another's exchange.

deploy/gossip.toml, off by default, with keys in a file whose mode is checked; a socket of its own; ctl peers and suspicions, a console page, counters, events with the reasons of each change of belief. Each peer is bound to the first exchange that it speaks for, and two that speak for one are not heard; with gossip on, groups travel on its signed path. The checks of our TOML files are one module for both files.

--- a/crates/console/src/app.rs
+++ b/crates/console/src/app.rs
@@ -28,16 +28,19 @@
     Events,
     /// The alarms.
     Alarms,
+    /// The instances that gossip.
+    Peers,
 }
 
 /// All pages, in the order of their keys.
-pub const PAGES: [(Page, &str); 6] = [
+pub const PAGES: [(Page, &str); 7] = [
     (Page::Overview, "overview"),
     (Page::Exchanges, "exchanges"),
     (Page::Calls, "calls"),
     (Page::Drains, "drains"),
     (Page::Events, "events"),
     (Page::Alarms, "alarms"),
+    (Page::Peers, "peers"),
 ];
 
 /// What the keyboard does at present.
@@ -111,6 +114,10 @@
     pub round: Option<Round>,
     /// Alarms.
     pub alarms: Vec<Alarm>,
+    /// Instances that gossip.
+    pub peers: Vec<Peer>,
+    /// What they speak against.
+    pub suspicions: Vec<Suspicion>,
     /// Events, oldest first.
     pub events: VecDeque<Event>,
     /// Events that did not come through.
@@ -147,6 +154,8 @@
             windows: Vec::new(),
             round: None,
             alarms: Vec::new(),
+            peers: Vec::new(),
+            suspicions: Vec::new(),
             events: VecDeque::new(),
             lost: 0,
             page: Page::Overview,
@@ -219,6 +228,8 @@
                 (self.drains, self.over, self.windows, self.round) = (drains, over, windows, round);
             }
             Body::Alarms { alarms } => self.alarms = alarms,
+            Body::Peers { peers } => self.peers = peers,
+            Body::Suspicions { suspicions } => self.suspicions = suspicions,
             Body::Events { events } => self.events = events.into(),
             Body::Event(event) => {
                 // What the first list had may come as an event as well.
@@ -263,6 +274,7 @@
             Page::Drains => self.drains.len(),
             Page::Events => self.events.len(),
             Page::Alarms => self.alarms.len(),
+            Page::Peers => self.peers.len(),
         }
     }
 
@@ -293,7 +305,7 @@
     fn browse(&mut self, key: KeyCode) -> Vec<Effect> {
         let last = self.rows().saturating_sub(1);
         match key {
-            KeyCode::Char(c @ '1'..='6') => self.turn_to(c),
+            KeyCode::Char(c @ '1'..='7') => self.turn_to(c),
             KeyCode::Tab => {
                 let at = PAGES.iter().position(|p| p.0 == self.page).unwrap_or(0);
                 self.page = PAGES[(at + 1) % PAGES.len()].0;
--- a/crates/console/src/command.rs
+++ b/crates/console/src/command.rs
@@ -30,7 +30,7 @@
     ("seen", "seen ALARM: it was seen"),
     ("log", "log FILTER: what the controller logs, as info,walnuthatch::drains=debug"),
     ("search", "search TEXT: only calls with this text; without one: all"),
-    ("page", "page 1 to 6"),
+    ("page", "page 1 to 7"),
     ("stop", "stop: the controller ends once all calls have their answer"),
     ("quit", "quit: leave the console; the controller goes on"),
 ];
@@ -108,7 +108,7 @@
         "log" => Ok(Command::Ask(Ask::Log { filter: words.next().map(str::to_owned) })),
         "search" => Ok(Command::Search(words.collect::<Vec<_>>().join(" "))),
         "page" => match words.next().and_then(|w| w.chars().next()) {
-            Some(c @ '1'..='6') => Ok(Command::Page(c)),
+            Some(c @ '1'..='7') => Ok(Command::Page(c)),
             _ => Err(format!("expected {form}")),
         },
         "stop" => Ok(Command::Confirm(Ask::Stop)),
@@ -169,7 +169,7 @@
             ("drain x limit=soon", "expected as 30m"),
             ("drain x limit=99999999999d", "expected as 30m"),
             ("drain x then=run", "expected keep, restore or cut"),
-            ("page 9", "page 1 to 6"),
+            ("page 9", "page 1 to 7"),
         ] {
             assert!(parse(line).unwrap_err().contains(want), "{line}");
         }
--- a/crates/console/src/screen.rs
+++ b/crates/console/src/screen.rs
@@ -75,6 +75,7 @@
         Page::Drains => drains(frame, body, app),
         Page::Events => events(frame, body, app),
         Page::Alarms => alarms(frame, body, app, look),
+        Page::Peers => peers(frame, body, app, look),
     }
     frame.render_widget(Paragraph::new(footer(app, look)), foot);
     match &app.mode {
@@ -153,7 +154,7 @@
         Page::Drains => "u undrain  up/down choose  : command  ? help  q leave",
         Page::Calls => "/ search  up/down choose  : command  ? help  q leave",
         Page::Alarms => "s seen  up/down choose  : command  ? help  q leave",
-        Page::Events => "up/down choose  : command  ? help  q leave",
+        Page::Events | Page::Peers => "up/down choose  : command  ? help  q leave",
     }
 }
 
@@ -340,6 +341,34 @@
     table(frame, area, app, &["", "for", "seen by", "alarm"], &[8, 8, 10, width], rows.collect());
 }
 
+fn peers(frame: &mut Frame<'_>, area: Rect, app: &App, look: Look) {
+    let below = (app.suspicions.len() as u16 + 2).min(area.height / 2);
+    let [list, rest] = Layout::vertical([Constraint::Min(3), Constraint::Length(below)]).areas(area);
+    let rows = app.peers.iter().map(|p| {
+        let style = if p.state == "alive" { Style::new() } else { look.bad() };
+        let (pressed, trust) = (format!("{:.0}%", p.pressed * 100.0), format!("{:.2}", p.trust));
+        Row::new([p.member.clone(), p.address.clone(), p.state.clone(), pressed, trust]).style(style)
+    });
+    table(
+        frame,
+        list,
+        app,
+        &["member", "address", "state", "pressed", "trust"],
+        &[16, 21, 8, 8, 6],
+        rows.collect(),
+    );
+    let mut lines = vec![Line::styled(format!("{} exchanges are suspected", app.suspicions.len()), HEAD)];
+    for s in &app.suspicions {
+        let (own, n) = (if s.own { ", and missed here" } else { "" }, s.accusers.len());
+        let text = format!(
+            "exchange {} for {} ms: {n} accuse{own}, {:.2} to {:.2}",
+            s.exchange, s.for_ms, s.weight, s.against
+        );
+        lines.push(Line::styled(text, look.bad()));
+    }
+    frame.render_widget(Paragraph::new(lines), rest);
+}
+
 // ---- Windows over the page ----
 
 fn window(frame: &mut Frame<'_>, title: &'static str, lines: Vec<Line<'static>>) {
@@ -356,7 +385,7 @@
 
 fn help() -> Vec<Line<'static>> {
     let mut lines: Vec<Line<'static>> = [
-        "1 to 6, Tab   pages               up, down, PgUp, PgDn   choose",
+        "1 to 7, Tab   pages               up, down, PgUp, PgDn   choose",
         "d             drain what is chosen; its cost is shown first",
         "u             put it back into service",
         "s             the chosen alarm was seen        /   search calls",
--- a/crates/console/tests/screens.rs
+++ b/crates/console/tests/screens.rs
@@ -109,7 +109,7 @@
         "medina SERVING  up 2 h  2 open, 84 stand  2/3 exchanges  1 drains",
         "1 alarms: unreachable exchange:3: no connection for 9 s",
         "",
-        "1 overview  2 exchanges  3 calls  4 drains  5 events  6 alarms",
+        "1 overview  2 exchanges  3 calls  4 drains  5 events  6 alarms  7 peers",
         "calls          answered   in aim     late  refused   failed     left",
         "last 10 s           100    90.0%        4        5        1        0",
         "last minute         100    90.0%        4        5        1        0",
@@ -138,6 +138,7 @@
         ('4', "new power"),
         ('5', "kind"),
         ('6', "no alarms"),
+        ('7', "0 exchanges are suspected"),
     ] {
         let mut a = app();
         press(&mut a, &page.to_string());
--- a/crates/control/src/frames.rs
+++ b/crates/control/src/frames.rs
@@ -36,12 +36,16 @@
     Alarms,
     /// The counters.
     Counters,
+    /// The instances that gossip.
+    Peers,
+    /// What they speak against.
+    Suspicions,
     /// Each event as it happens.
     Events,
 }
 
 /// All topics.
-pub const TOPICS: [Topic; 8] = [
+pub const TOPICS: [Topic; 10] = [
     Topic::Status,
     Topic::Exchanges,
     Topic::Calls,
@@ -49,6 +53,8 @@
     Topic::Drains,
     Topic::Alarms,
     Topic::Counters,
+    Topic::Peers,
+    Topic::Suspicions,
     Topic::Events,
 ];
 
@@ -212,6 +218,16 @@
         /// By name.
         counters: std::collections::BTreeMap<String, u64>,
     },
+    /// The instances that gossip.
+    Peers {
+        /// By their ids.
+        peers: Vec<Peer>,
+    },
+    /// What they speak against.
+    Suspicions {
+        /// By exchange.
+        suspicions: Vec<Suspicion>,
+    },
     /// The orders that were given.
     Audit {
         /// Oldest first.
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -238,6 +238,42 @@
     }
 }
 
+view! {
+    /// An instance that gossips.
+    Peer {
+        /// Its id: the first 64 bits of its name's hash.
+        member: String,
+        /// Where it is.
+        address: String,
+        /// `alive`, `suspect`, `dead` or `left`.
+        state: String,
+        /// Its incarnation.
+        incarnation: u64,
+        /// How pressed its processor is, from 0 to 1.
+        pressed: f64,
+        /// What its word is worth, from 0 to 1.
+        trust: f64,
+    }
+}
+
+view! {
+    /// An exchange that others' evidence speaks against.
+    Suspicion {
+        /// The exchange.
+        exchange: u16,
+        /// For how long.
+        for_ms: u64,
+        /// The accusers' weight.
+        weight: f64,
+        /// The weight of those who vouch.
+        against: f64,
+        /// Who accuses.
+        accusers: Vec<String>,
+        /// Whether this instance misses answers itself.
+        own: bool,
+    }
+}
+
 view! {
     /// An order that was given.
     Audit {
--- a/src/program/appliance.rs
+++ b/src/program/appliance.rs
@@ -6,6 +6,7 @@
 
 use super::alarms::{self, Marks};
 use super::appliance_file::ApplianceConfig;
+use super::gossip::Gossip;
 use super::log::Log;
 use super::views::{Loads, Scene, CALLS};
 use crate::routing::interface::{Cause, Ending, ExchangeNo, Micros, Withdrawn};
@@ -420,8 +421,19 @@
         }
     }
 
-    fn event(&mut self, now: Now, kind: &str, text: String) {
+    /// Something happened in another subsystem.
+    pub fn tell(&mut self, now: Micros, wall: Micros, kind: &str, text: String) {
+        self.event(Now::new(now, wall), kind, text);
+        self.follow_sessions();
+    }
+
+    /// Writes an event to the log.
+    pub fn log(kind: &str, text: &str) {
         tracing::info!(target: "walnuthatch::events", kind, "{text}");
+    }
+
+    fn event(&mut self, now: Now, kind: &str, text: String) {
+        Appliance::log(kind, &text);
         self.event_number += 1;
         let event = Event { at_ms: now.wall / 1000, number: self.event_number, kind: kind.to_owned(), text };
         self.sessions.event(&event);
@@ -556,6 +568,11 @@
                 let all = (scene.counters)().into_iter().chain(self.counters());
                 Body::Counters { counters: all.collect() }
             }
+            Topic::Peers => Body::Peers { peers: scene.gossip.map_or_else(Vec::new, Gossip::peers) },
+            Topic::Suspicions => {
+                let suspicions = scene.gossip.map_or_else(Vec::new, |g| g.suspicions(now.steady));
+                Body::Suspicions { suspicions }
+            }
             Topic::Events => Body::Events { events: self.events.iter().cloned().collect() },
         }
     }
--- a/src/program/appliance_file.rs
+++ b/src/program/appliance_file.rs
@@ -5,16 +5,14 @@
 //! say, such as two exchanges of one number, is checked after it.
 
 use super::config::MgcpConfig;
+use super::toml_check::{self, Checker, Fault};
 use crate::routing::interface::{ExchangeNo, Micros};
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
-use std::fmt;
-use std::net::SocketAddr;
 use std::path::PathBuf;
-use toml::de::{DeTable, DeValue};
 use walnuthatch_drains::drain::AtLimit;
 use walnuthatch_drains::policy::Policy;
 use walnuthatch_drains::target::Target;
@@ -296,25 +294,6 @@
     pub force: bool,
 }
 
-/// Something wrong in the file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// The file.
-    pub file: String,
-    /// The line, from 1; 0 if it is of the whole.
-    pub line: usize,
-    /// The key.
-    pub key: String,
-    /// What is wrong: what was found and what was expected.
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}: {}", self.file, self.line, self.key, self.what)
-    }
-}
-
 /// What the appliance is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ApplianceConfig {
@@ -364,140 +343,20 @@
     serde_json::to_value(schemars::schema_for!(ApplianceFile)).unwrap_or_default()
 }
 
-/// Collects the faults of one text.
-struct Checker<'a> {
-    file: &'a str,
-    text: &'a str,
-    table: Option<toml::Spanned<DeTable<'a>>>,
-    faults: Vec<Fault>,
-}
-
-impl Checker<'_> {
-    /// The line of a key, or of the nearest table round it.
-    fn line(&self, path: &str) -> usize {
-        let Some(table) = &self.table else { return 0 };
-        let mut at = 0;
-        let mut here: Option<&DeValue<'_>> = None;
-        for part in path.split('.').filter(|p| !p.is_empty()) {
-            let next = match here {
-                None => table.get_ref().get(part),
-                Some(DeValue::Table(t)) => t.get(part),
-                Some(DeValue::Array(a)) => part.parse().ok().and_then(|i: usize| a.get(i)),
-                Some(_) => None,
-            };
-            let Some(next) = next else { break };
-            at = next.span().start;
-            here = Some(next.get_ref());
-        }
-        self.text[..at.min(self.text.len())].matches('\n').count() + 1
-    }
-
-    fn add(&mut self, key: impl Into<String>, what: impl ToString) {
-        let key = key.into();
-        let (line, file) = (self.line(&key), self.file.to_owned());
-        self.faults.push(Fault { file, line, key, what: what.to_string() });
-    }
-
-    fn address(&mut self, key: &str, text: &str, nets: &[IpNet]) -> Option<SocketAddr> {
-        let Ok(address) = text.parse::<SocketAddr>() else {
-            self.add(key, format!("found {text:?}, expected an address and a port, as 127.0.0.1:5060"));
-            return None;
-        };
-        if !nets.iter().any(|n| n.contains(&address.ip())) {
-            let nets: Vec<String> = nets.iter().map(ToString::to_string).collect();
-            self.add(
-                key,
-                format!("found {text:?}, expected an address in {} (network.allowed)", nets.join(" or ")),
-            );
-            return None;
-        }
-        Some(address)
-    }
-}
-
 /// Reads and checks the file; `None` where it leaves the appliance off.
 ///
 /// # Errors
 /// All faults that were found, in the order of their lines.
 pub fn read(file: &str, text: &str) -> Result<Option<ApplianceConfig>, Vec<Fault>> {
-    let table = match DeTable::parse(text) {
-        Ok(table) => table,
-        Err(e) => {
-            let at = e.span().map_or(0, |s| s.start).min(text.len());
-            let line = text[..at].matches('\n').count() + 1;
-            let fault = Fault { file: file.into(), line, key: "TOML".into(), what: e.message().into() };
-            return Err(vec![fault]);
-        }
-    };
-    let mut c = Checker { file, text, table: Some(table), faults: Vec::new() };
-    let value: Value = match toml::from_str(text) {
-        Ok(value) => value,
-        Err(e) => {
-            c.add("TOML", e.message());
-            return Err(c.faults);
-        }
-    };
-    if value.get("enabled") != Some(&Value::Bool(true)) {
-        // What is switched off is not checked, except that it is not a mistake.
-        if !matches!(value.get("enabled"), None | Some(Value::Bool(false))) {
-            c.add("enabled", "expected true or false");
-            return Err(c.faults);
-        }
+    let Some((mut c, parsed)) = toml_check::read::<ApplianceFile>(file, text, &schema())? else {
         return Ok(None);
-    }
-    check_form(&mut c, &value);
-    if !c.faults.is_empty() {
-        c.faults.sort_by_key(|f| f.line);
-        return Err(c.faults);
-    }
-    let parsed: ApplianceFile = match serde_json::from_value(value) {
-        Ok(parsed) => parsed,
-        Err(e) => {
-            c.add("", e);
-            return Err(c.faults);
-        }
     };
     let config = build(&mut c, parsed);
-    match c.faults.is_empty() {
-        true => Ok(Some(config)),
-        false => {
-            c.faults.sort_by_key(|f| f.line);
-            Err(c.faults)
-        }
-    }
-}
-
-fn check_form(c: &mut Checker<'_>, value: &Value) {
-    let validator = match jsonschema::validator_for(&schema()) {
-        Ok(v) => v,
-        Err(e) => return c.add("", format!("the schema itself is faulty: {e}")),
-    };
-    for error in validator.iter_errors(value) {
-        let path = error.instance_path().to_string();
-        let key = path.trim_start_matches('/').replace('/', ".");
-        // A missing or unknown key is named in the text, and is the key that is wrong.
-        let text = error.to_string();
-        let named = text.split('\'').nth(1).filter(|_| text.contains("unexpected")).map(str::to_owned);
-        let key = match named {
-            Some(n) if key.is_empty() => n,
-            Some(n) => format!("{key}.{n}"),
-            None => key,
-        };
-        c.add(key, text);
-    }
+    c.end(Some(config))
 }
 
 fn build(c: &mut Checker<'_>, f: ApplianceFile) -> ApplianceConfig {
-    let mut nets: Vec<IpNet> = Vec::new();
-    for (i, text) in f.network.allowed.iter().enumerate() {
-        match text.parse() {
-            Ok(net) => nets.push(net),
-            Err(_) => c.add(
-                format!("network.allowed.{i}"),
-                format!("found {text:?}, expected a network, as 10.2.0.0/16"),
-            ),
-        }
-    }
+    let nets = c.networks("network.allowed", &f.network.allowed);
     if let Some(socket) = &f.control.socket {
         if !PathBuf::from(socket).is_absolute() {
             c.add("control.socket", format!("found {socket:?}, expected a path that begins with /"));
@@ -618,17 +477,13 @@
 /// # Errors
 /// The faults, by the keys of the appliance's file.
 pub fn against_gateways(file: &str, a: &ApplianceConfig, m: &MgcpConfig) -> Result<(), Vec<Fault>> {
-    let mut c = Checker { file, text: "", table: None, faults: Vec::new() };
+    let mut c = Checker::without_text(file);
     let own = m.agent.gateways.iter().map(|g| (g.prefix.clone(), g.exchange));
     let theirs: Vec<_> = own.chain(m.agent.routes.iter().cloned()).filter(|p| !p.0.is_empty()).collect();
     for (prefix, _) in &a.prefixes {
         overlap(&mut c, "exchange.prefixes", prefix, &theirs);
     }
-    if c.faults.is_empty() {
-        Ok(())
-    } else {
-        Err(c.faults)
-    }
+    c.end(())
 }
 
 fn windows(c: &mut Checker<'_>, all: &[WindowFile]) -> Vec<Window> {
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,6 +1,8 @@
 //! The one place where configuration is read, checked and given its defaults. Every error names the key.
 
-use super::appliance_file::{self, ApplianceConfig, Fault, LogFormat};
+use super::appliance_file::{self, ApplianceConfig, LogFormat};
+use super::gossip_file::{self, GossipConfig};
+use super::toml_check::Fault;
 use crate::protocol::mgcp::agent::{AgentConfig, AnsweredBy, Gateway};
 use crate::protocol::{simulator, text_settings};
 use crate::routing::interface::{ExchangeNo, Micros, Settings};
@@ -33,9 +35,9 @@
         /// What is wrong.
         why: String,
     },
-    /// The appliance's file has these faults.
-    #[error("{} in the appliance's file\n{}", count(.0.len()), lines(.0))]
-    Appliance(Vec<Fault>),
+    /// One of our files has these faults.
+    #[error("{}\n{}", count(.0.len()), lines(.0))]
+    Faults(Vec<Fault>),
 }
 
 fn count(n: usize) -> String {
@@ -72,6 +74,9 @@
     /// The appliance's file, in place of deploy/appliance.toml
     #[arg(long, value_name = "FILE")]
     pub appliance: Option<PathBuf>,
+    /// The gossip's file, in place of deploy/gossip.toml
+    #[arg(long, value_name = "FILE")]
+    pub gossip: Option<PathBuf>,
     /// What is logged, as info,walnuthatch::drains=debug; goes before WALNUTHATCH_LOG and the appliance's file
     #[arg(long, value_name = "FILTER")]
     pub log: Option<String>,
@@ -120,6 +125,8 @@
     pub telemetry: Option<TelemetryConfig>,
     /// The appliance, if it is on.
     pub appliance: Option<ApplianceConfig>,
+    /// Gossip, if it is on.
+    pub gossip: Option<GossipConfig>,
 }
 
 /// The exporter of metrics and spans.
@@ -153,7 +160,7 @@
     let appliance = match optional("appliance.toml", named, appliance_file::FILE)? {
         Some(text) => {
             let file = named.unwrap_or(Path::new(appliance_file::FILE)).display().to_string();
-            appliance_file::read(&file, &text).map_err(ConfigError::Appliance)?
+            appliance_file::read(&file, &text).map_err(ConfigError::Faults)?
         }
         None => None,
     };
@@ -179,6 +186,12 @@
     if let Some(text) = optional(TELEMETRY_FILE, arguments.telemetry.as_deref(), TELEMETRY_FILE)? {
         config.telemetry = telemetry(&text)?;
     }
+    let named_gossip = arguments.gossip.as_deref();
+    if let Some(text) = optional("gossip.toml", named_gossip, gossip_file::FILE)? {
+        let file = named_gossip.unwrap_or(Path::new(gossip_file::FILE)).display().to_string();
+        let own = config.settings.own.map(|o| walnuthatch_gossip::Exchange(o.0));
+        config.gossip = gossip_file::read(&file, &text, &config.name, own).map_err(ConfigError::Faults)?;
+    }
     if let Some(a) = appliance {
         join(&mut config, a, named)?;
     }
@@ -195,7 +208,7 @@
     }
     if let Some(m) = &mut config.mgcp {
         let file = named.unwrap_or(Path::new(appliance_file::FILE)).display().to_string();
-        appliance_file::against_gateways(&file, &a, m).map_err(ConfigError::Appliance)?;
+        appliance_file::against_gateways(&file, &a, m).map_err(ConfigError::Faults)?;
         m.agent.routes.extend(a.prefixes.iter().cloned());
     }
     config.appliance = Some(a);
@@ -355,6 +368,8 @@
             ("settings.limits.connectTimeout", self.connect_timeout == new.connect_timeout),
             ("mgcp", self.mgcp == new.mgcp),
             ("telemetry", self.telemetry == new.telemetry),
+            ("gossip.enabled", self.gossip.is_some() == new.gossip.is_some()),
+            ("gossip.listen", self.listens_to_gossip() == new.listens_to_gossip()),
             ("appliance.enabled", self.appliance.is_some() == new.appliance.is_some()),
             ("appliance.control", self.of_appliance(|a| &a.socket) == new.of_appliance(|a| &a.socket)),
             ("appliance.state", self.of_appliance(|a| &a.folder) == new.of_appliance(|a| &a.folder)),
@@ -368,6 +383,9 @@
         self.coordinator = new.coordinator;
         self.peers = new.peers;
         self.peers_all = new.peers_all;
+        if let (Some(old), Some(new)) = (&mut self.gossip, new.gossip) {
+            *old = GossipConfig { listen: old.listen, ..new };
+        }
         if let (Some(old), Some(new)) = (&mut self.appliance, new.appliance) {
             old.policy = new.policy;
             old.windows = new.windows;
@@ -377,6 +395,10 @@
         }
     }
 
+    fn listens_to_gossip(&self) -> Option<SocketAddr> {
+        self.gossip.as_ref().map(|g| g.listen)
+    }
+
     fn of_appliance<T>(&self, what: impl Fn(&ApplianceConfig) -> &T) -> Option<&T> {
         self.appliance.as_ref().map(what)
     }
@@ -391,6 +413,10 @@
         let export = self.telemetry.as_ref().map_or("off".to_owned(), |t| {
             format!("to {} every {} ms, spans {}", t.collector, t.interval / 1000, t.spans)
         });
+        let gossip = self.gossip.as_ref().map_or("off".to_owned(), |g| {
+            let keys: Vec<String> = g.ring.ids().map(|id| id.to_string()).collect();
+            format!("at {}, {} seeds, keys {}", g.listen, g.node.seeds.len(), keys.join(" "))
+        });
         let appliance = self.appliance.as_ref().map_or("off".to_owned(), |a| {
             let path =
                 |p: &Option<PathBuf>| p.as_ref().map_or("none".to_owned(), |p| p.display().to_string());
@@ -403,7 +429,7 @@
         });
         format!(
             "name {}\nlisten {}\ncoordinator {}\npeers {}, listening at {}\nclasses {}\nsockets {}\n\
-             gateways {gateways}\ntelemetry {export}\nappliance {appliance}\n",
+             gateways {gateways}\ntelemetry {export}\nappliance {appliance}\ngossip {gossip}\n",
             self.name,
             self.listen,
             place(&self.coordinator),
@@ -497,6 +523,7 @@
         mgcp: None,
         telemetry: None,
         appliance: None,
+        gossip: None,
     })
 }
 
--- a/src/program/ctl.rs
+++ b/src/program/ctl.rs
@@ -122,6 +122,10 @@
         /// Its name, as alarms shows it
         alarm: Vec<String>,
     },
+    /// The instances that gossip
+    Peers,
+    /// The exchanges that others' evidence speaks against
+    Suspicions,
     /// The orders that were given
     Audit,
     /// What the controller was told
@@ -188,6 +192,8 @@
         What::Counters => show(Topic::Counters),
         What::Drains => show(Topic::Drains),
         What::Alarms => show(Topic::Alarms),
+        What::Peers => show(Topic::Peers),
+        What::Suspicions => show(Topic::Suspicions),
         What::Audit => Ask::Audit,
         What::Config => Ask::Config,
         What::Log { level } => Ask::Log { filter: level },
@@ -407,6 +413,29 @@
         Body::Counters { counters } => {
             counters.iter().map(|(n, v)| format!("{n:28} {v}")).collect::<Vec<_>>().join("\n")
         }
+        Body::Peers { peers } => table(
+            ["MEMBER", "ADDRESS", "STATE", "PRESSED", "TRUST"],
+            peers.iter().map(|p| {
+                let (pressed, trust) = (percent(Some(p.pressed)), format!("{:.2}", p.trust));
+                [p.member.clone(), p.address.clone(), p.state.clone(), pressed, trust]
+            }),
+        ),
+        Body::Suspicions { suspicions } if suspicions.is_empty() => "no exchange is suspected".to_owned(),
+        Body::Suspicions { suspicions } => table(
+            ["EXCHANGE", "FOR", "WEIGHT", "AGAINST", "OWN", "ACCUSERS"],
+            suspicions.iter().map(|s| {
+                let own = if s.own { "yes" } else { "no" }.to_owned();
+                let (weight, against) = (format!("{:.2}", s.weight), format!("{:.2}", s.against));
+                [
+                    s.exchange.to_string(),
+                    format!("{} ms", s.for_ms),
+                    weight,
+                    against,
+                    own,
+                    s.accusers.join(" "),
+                ]
+            }),
+        ),
         Body::Audit { audit } => table(
             ["WHEN", "WHO", "WHAT", "ANSWER"],
             audit.iter().map(|a| [moment(a.at_ms), a.who.clone(), a.what.clone(), a.answer.clone()]),
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -113,6 +113,14 @@
         let longest = message::LONGEST;
         executor.spawn(datagrams::serve(socket, longest, gateway_queue, inbox.clone(), made)).detach();
     }
+    let (gossip, gossip_queue) = bounded(DATAGRAMS);
+    if let Some(g) = &config.gossip {
+        let socket = Async::<UdpSocket>::bind(g.listen).map_err(listen("gossip.listen", g.listen))?;
+        said("gossip", socket.get_ref().local_addr());
+        let made = |from, body| Inbound::Gossip { from, body };
+        let longest = walnuthatch_gossip::wire::LONGEST;
+        executor.spawn(datagrams::serve(socket, longest, gossip_queue, inbox.clone(), made)).detach();
+    }
     match signals::catch() {
         Ok(caught) => executor.spawn(signals::watch(caught, inbox.clone())).detach(),
         Err(e) => tracing::error!("signals: {e}"),
@@ -158,7 +166,7 @@
         executor.spawn(telemetry::export(t.collector, encoder, snapshot_queue, board.exported())).detach();
     }
     let answers = commands.then(console::print);
-    let out = Outlets { inbox, peers, gateways, snapshots, coordinator, answers, savings, arguments };
+    let out = Outlets { inbox, peers, gateways, gossip, snapshots, coordinator, answers, savings, arguments };
     let board = route(board, clock, news, out, &executor).await;
     if let Some(socket) = control {
         socket.remove();
@@ -172,6 +180,7 @@
     inbox: Sender<Inbound>,
     peers: Sender<datagrams::Outgoing>,
     gateways: Sender<datagrams::Outgoing>,
+    gossip: Sender<datagrams::Outgoing>,
     snapshots: Sender<Snapshot>,
     coordinator: Sender<Wish>,
     answers: Option<Sender<String>>,
@@ -190,6 +199,7 @@
             }
             Task::Peer(to, body) => drop(self.peers.try_send((to, body))),
             Task::Gateway(to, body) => drop(self.gateways.try_send((to, body))),
+            Task::Gossip(to, body) => drop(self.gossip.try_send((to, body))),
             Task::Export(snapshot) => drop(self.snapshots.try_send(snapshot)),
             Task::Print(text) => drop(self.answers.as_ref().map(|a| a.try_send(text))),
             Task::Save(saving) => drop(self.savings.as_ref().map(|s| s.force_send(saving))),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -5,6 +5,7 @@
 use super::config::{Config, ConfigError};
 use super::console;
 use super::counters::{self, WireCounts};
+use super::gossip::Gossip;
 use super::log;
 use super::telemetry::ExportCounts;
 use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
@@ -28,6 +29,7 @@
 use walnuthatch_drains::target::Now;
 
 mod exports;
+mod gossip;
 mod operators;
 
 /// The platform's front.
@@ -63,6 +65,8 @@
     Export,
     /// The appliance's.
     Appliance,
+    /// Gossip's.
+    Gossip,
     /// Look whether the program may end.
     Stop,
     /// The program stops, and answers what it still owes.
@@ -78,6 +82,8 @@
     Peer(SocketAddr, Vec<u8>),
     /// Send a datagram to a gateway.
     Gateway(SocketAddr, Vec<u8>),
+    /// Send a datagram to an instance that gossips.
+    Gossip(SocketAddr, Vec<u8>),
     /// Hand these figures to the exporter.
     Export(Snapshot),
     /// Print the answer to a command.
@@ -98,6 +104,7 @@
     links: Links,
     agent: Option<Agent>,
     appliance: Option<Appliance>,
+    gossip: Option<Gossip>,
     roster: Roster,
     deadlines: Deadlines<Due>,
     outboxes: HashMap<(Side, ConnId), Outbox>,
@@ -137,6 +144,7 @@
             links: Links::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
             appliance,
+            gossip: config.gossip.as_ref().map(|g| Gossip::new(now, g, config.seed)),
             roster: Roster::new(config.zones.clone()),
             deadlines: Deadlines::default(),
             outboxes: HashMap::new(),
@@ -203,6 +211,11 @@
             Inbound::Report => {
                 tracing::info!("{}", counters::line(&self.counters()));
             }
+            Inbound::Gossip { from, body } => {
+                if let Some(g) = &mut self.gossip {
+                    g.datagram(now, from, &body);
+                }
+            }
             Inbound::Control(news) => {
                 self.with_appliance(now, |a, clocks, scene| a.take(clocks, news, scene));
             }
@@ -234,6 +247,9 @@
         if let (Some(a), Some(config)) = (&mut self.appliance, &self.config.appliance) {
             a.reload(config, self.config.settings.drain_grace);
         }
+        if let (Some(g), Some(config)) = (&mut self.gossip, &self.config.gossip) {
+            g.reload(config);
+        }
         tracing::info!("configuration read anew");
     }
 
@@ -250,6 +266,7 @@
                     }
                 }
                 Due::Export => self.export(now),
+                Due::Gossip => self.gossip_due(now),
                 Due::Appliance => self.with_appliance(now, Appliance::look),
                 Due::Stop => {}
                 Due::LastAnswers => self.ledger.fail_open(now),
@@ -295,6 +312,9 @@
         if let Some(a) = &self.appliance {
             table.extend(a.counters());
         }
+        if let Some(g) = &self.gossip {
+            table.extend(g.counters());
+        }
         if let Some(agent) = &self.agent {
             table.extend(counters::agent_table(&agent.counts(), agent.repeats()));
         }
@@ -307,6 +327,9 @@
     pub fn stop(&mut self, now: Micros) {
         if self.stopping.is_none() {
             self.stopping = Some(now);
+            if let Some(g) = &mut self.gossip {
+                g.leave(now);
+            }
             for at in [STOP_WINDOW, STOP_STANDING] {
                 self.deadlines.add(now + at, Due::Stop);
             }
@@ -413,12 +436,14 @@
             let (ledger, links) = (self.ledger.take_outputs(), self.links.take_outputs());
             let agent = self.agent.as_mut().map_or_else(Vec::new, Agent::take_outputs);
             let callers = self.callers.take_outputs();
+            let gossiped = self.follow_gossip(now);
             let orders = self.appliance.as_mut().map_or_else(Vec::new, Appliance::take_outputs);
             if ledger.is_empty()
                 && links.is_empty()
                 && agent.is_empty()
                 && callers.is_empty()
                 && orders.is_empty()
+                && !gossiped
             {
                 return;
             }
@@ -441,10 +466,7 @@
     }
 
     fn ledger_output(&mut self, now: Micros, output: Output) {
-        log::call(&output);
-        if let Some(a) = &mut self.appliance {
-            a.observe(now, &output, &self.ledger, &self.aims);
-        }
+        self.observe(now, &output);
         match output {
             Output::SetUp { call, attempt, office, wait } => match &mut self.agent {
                 Some(agent) if agent.has(office) => {
@@ -474,6 +496,8 @@
             },
             Output::AttemptEnded { .. } => {}
             Output::Probe(office) => self.links.probe(now, office),
+            // With gossip the own groups are told on its signed path.
+            Output::Tell { .. } if self.gossip.is_some() => {}
             Output::Tell { to, body } => self.tell_peers(to, body),
             Output::FetchList => self.tasks.push(Task::Refetch),
             Output::Log(line) => tracing::info!("{line}"),
--- a/src/program/switchboard/operators.rs
+++ b/src/program/switchboard/operators.rs
@@ -16,6 +16,7 @@
             ledger: &self.ledger,
             links: &self.links,
             agent: self.agent.as_ref(),
+            gossip: self.gossip.as_ref(),
             connections: self.outboxes.len(),
             deadlines: self.deadlines.len(),
             stopping: self.stopping.is_some(),
--- a/src/program/views.rs
+++ b/src/program/views.rs
@@ -2,6 +2,7 @@
 //! alarm, has it from here; nothing here changes anything.
 
 use super::config::Config;
+use super::gossip::Gossip;
 use super::switchboard::GATEWAYS;
 use crate::protocol::exchanges::Links;
 use crate::protocol::mgcp::agent::Agent;
@@ -28,6 +29,8 @@
     pub links: &'a Links,
     /// The gateways.
     pub agent: Option<&'a Agent>,
+    /// Gossip.
+    pub gossip: Option<&'a Gossip>,
     /// Connections that there are.
     pub connections: usize,
     /// Deadlines that wait.
--- a/src/routing/control.rs
+++ b/src/routing/control.rs
@@ -325,6 +325,10 @@
     busy: BTreeSet<usize>,
     /// What operators took out of service.
     withdrawn: Withdrawn,
+    /// What others' evidence speaks against.
+    suspected: BTreeSet<ExchangeNo>,
+    /// The exchange that each peer speaks for.
+    voices: BTreeMap<PeerNo, ExchangeNo>,
 }
 
 impl Controller {
@@ -374,8 +378,9 @@
                     self.serve_held(now, Some(i), !full, out);
                 }
             }
-            Event::Peer { body, .. } => self.on_peer(&body),
+            Event::Peer { from, body } => self.on_peer(from, &body),
             Event::ProbeFailed(_) => {}
+            Event::Suspected(s) => self.suspected = s,
             Event::Withdrawn(w) => {
                 self.withdrawn = w;
                 self.serve_held(now, None, true, out);
@@ -390,7 +395,7 @@
 
     /// Own wait, seen as the lower quartile of the last set-up delays, since own slowness is part of each; or
     /// the time that set-ups have been out with no answer at all, since a jam has no answers to tell of it.
-    fn own_delay(&self, now: Micros) -> f64 {
+    pub fn own_delay(&self, now: Micros) -> f64 {
         let mut delays = [0; RECENT];
         let fresh = self.recent.iter().filter(|r| now - r.0 < DELAY_STALE);
         let n = delays.iter_mut().zip(fresh).map(|(d, r)| *d = r.1).count();
@@ -414,8 +419,12 @@
     /// Whether the office may be sent anything at all: on the list, its gate open, its cold budget unspent.
     fn takes_setups(&self, now: Micros, i: usize) -> bool {
         let o = &self.offices[i];
+        // Danger: a suspicion may be wrong, and only an answer shows it: one set-up at a time goes on.
+        let most = if self.suspected.contains(&o.exchange) { 0 } else { usize::MAX };
+        let waiting = o.waiting(now, self.mean_aim);
         o.state == ListState::Ready
-            && o.gate.lets_in(now, o.waiting(now, self.mean_aim))
+            && waiting <= most
+            && o.gate.lets_in(now, waiting)
             && self.cold_credit(now, o).is_none_or(|c| c >= 0.0)
     }
 
@@ -503,7 +512,8 @@
         let turn = self.rotor % self.offices.len();
         let mut plain = (turn..self.offices.len()).chain(0..turn);
         let found = if self.luck >= LUCK_LEAST {
-            let sound = |&i: &usize| self.offices[i].faults < FAULTS_TANDEM && self.serves(now, i, call);
+            let trusted = |o: &Office| o.faults < FAULTS_TANDEM && !self.suspected.contains(&o.exchange);
+            let sound = |&i: &usize| trusted(&self.offices[i]) && self.serves(now, i, call);
             let any = plain.clone();
             plain.find(sound).or_else(|| any.into_iter().find(|&i| !last && self.serves(now, i, call)))
         } else {
@@ -884,10 +894,13 @@
         }
     }
 
-    fn on_peer(&mut self, body: &[u8]) {
+    fn on_peer(&mut self, from: PeerNo, body: &[u8]) {
         if let [TELL_GROUPS, high, low, links @ ..] = body {
-            let from = ExchangeNo(u16::from_be_bytes([*high, *low]));
-            if let Some(&i) = self.by_exchange.get(&from) {
+            let named = ExchangeNo(u16::from_be_bytes([*high, *low]));
+            // Danger: one peer could speak for another's exchange.
+            let bound = *self.voices.entry(from).or_insert(named) == named
+                && !self.voices.iter().any(|(p, e)| *p != from && *e == named);
+            if let Some(&i) = self.by_exchange.get(&named).filter(|_| bound) {
                 self.offices[i].links = links.to_vec();
             }
         }
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -356,6 +356,8 @@
     },
     /// Operators took this out of service, and nothing else.
     Withdrawn(Withdrawn),
+    /// These exchanges are suspected of taking set-ups and answering none, and no others.
+    Suspected(BTreeSet<ExchangeNo>),
     /// A timer is due.
     Timer(u64),
 }
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -7,7 +7,7 @@
 use super::control::Controller;
 use super::interface::*;
 use super::withdrawals::Withdrawals;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// An attempt ends this long before its caller gives up, so that the final answer is still in time (µs).
@@ -248,6 +248,7 @@
 #[derive(Debug)]
 pub struct Ledger {
     controller: Controller,
+    shortest_aim: Micros,
     release: Micros,
     drain_grace: Micros,
     calls: BTreeMap<CallId, Entry>,
@@ -266,6 +267,7 @@
     /// An empty ledger.
     pub fn new(settings: Settings, seed: u64) -> Self {
         Ledger {
+            shortest_aim: settings.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000).max(1),
             release: settings.release,
             drain_grace: settings.drain_grace,
             withdrawals: Withdrawals::new(settings.cold),
@@ -403,6 +405,16 @@
         self.drive(now, Event::Withdrawn(withdrawn));
     }
 
+    /// These exchanges are suspected of taking set-ups and answering none, and no others.
+    pub fn suspect(&mut self, now: Micros, suspected: BTreeSet<ExchangeNo>) {
+        self.drive(now, Event::Suspected(suspected));
+    }
+
+    /// How pressed the own processor is: its wait as a share of the shortest aim's two fifths.
+    pub fn pressed(&self, now: Micros) -> f64 {
+        self.controller.own_delay(now) / (0.4 * self.shortest_aim as f64)
+    }
+
     /// Brings groups that were withdrawn back little by little; to be called now and then.
     pub fn reopen(&mut self, now: Micros) {
         for (office, report) in self.withdrawals.reopening(now) {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -84,6 +84,13 @@
         /// Its content.
         body: Vec<u8>,
     },
+    /// A datagram of an instance that gossips.
+    Gossip {
+        /// Its address.
+        from: SocketAddr,
+        /// Its content.
+        body: Vec<u8>,
+    },
     /// News of the control socket or the state folder.
     Control(ControlNews),
     /// A line from the console.
--- a/tests/appliance.rs
+++ b/tests/appliance.rs
@@ -514,6 +514,8 @@
         "audit",
         "events",
         "config",
+        "peers",
+        "suspicions",
     ] {
         let (code, text) = ctl(&["--json", what]);
         let mut body: serde_json::Value = serde_json::from_str(&text).unwrap();
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -160,7 +160,7 @@
     let config = file("config.json", &config(json!({})).to_string());
     let mut p = Program::start(&[("--config", &config)], &["--check"]);
     assert!(p.end().success());
-    for name in ["mgcp", "telemetry", "appliance"] {
+    for name in ["mgcp", "telemetry", "appliance", "gossip"] {
         let text = std::fs::read_to_string(format!("deploy/{name}.toml")).unwrap();
         assert!(text.lines().any(|l| l == "enabled = false"));
     }
