--- a/crates/gossip/src/lab.rs
+++ b/crates/gossip/src/lab.rs
@@ -238,10 +238,12 @@
         self.now = self.now.max(end);
     }
 
-    /// Lets time pass until something is so, looked at each 50 ms. When that was, if it came about by `end`.
+    /// Lets time pass until something is so, looked at each 50 ms (250 ms in large groups). When that was, if it came about by `end`.
     pub fn run_while(&mut self, end: Micros, mut not_yet: impl FnMut(&Lab) -> bool) -> Option<Micros> {
         while self.now < end {
-            self.run_until((self.now + SECOND / 20).min(end));
+            // In large groups a look costs more than what is gained by the finer time.
+            let step = if self.nodes.len() > 200 { SECOND / 4 } else { SECOND / 20 };
+            self.run_until((self.now + step).min(end));
             if !not_yet(self) {
                 return Some(self.now);
             }
@@ -264,6 +266,13 @@
         self.living().map(|n| there(n.1)).sum::<usize>() as f64 / pairs.max(1) as f64
     }
 
+    /// Whether all living nodes take each other for there.
+    pub fn whole(&self) -> bool {
+        let ids: Vec<MemberId> = self.living().map(|n| n.1.id()).collect();
+        let there = |n: &Node, id: MemberId| n.members.get(id).is_some_and(|m| m.state.is_there());
+        self.living().all(|(_, n)| ids.iter().all(|id| *id == n.id() || there(n, *id)))
+    }
+
     /// How many living nodes take this one for dead.
     pub fn dead_to(&self, i: usize) -> usize {
         let id = MemberId::of(&format!("n{i}"));
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -22,6 +22,8 @@
 const RECONNECT: u32 = 5;
 /// What is urgent goes to so many members at once; the rest hear of it with other messages.
 const FANOUT: usize = 12;
+/// A contradiction of what is said of the own instance goes to so many at once.
+const CONTRADICT: usize = 6;
 /// A processor is pressed from here on (of 255): then only what keeps membership goes there.
 pub const PRESSED: u8 = 200;
 /// While the own processor is pressed, periods are so many times longer.
@@ -364,7 +366,7 @@
         self.next_period = now + PERIOD * self.stretch() + spread;
         self.periods = self.periods.wrapping_add(1);
         for change in self.members.sweep(now) {
-            self.changed(change);
+            self.changed(now, change);
         }
         let there: BTreeSet<MemberId> =
             self.members.iter().filter(|m| m.1.state.is_there()).map(|m| m.0).collect();
@@ -458,7 +460,10 @@
                         self.members.note_health(true);
                     }
                     if let Some(change) = self.members.unanswered(now, p.target) {
-                        self.changed(change);
+                        self.changed(now, change);
+                        // It hears at once what is said of it: under loss the word of others comes too late.
+                        let said = self.said_of(p.target);
+                        self.send(now, p.address, Message::Items, said.into_iter().collect(), 0.1);
                     }
                 }
                 continue;
@@ -563,7 +568,7 @@
             .any(|i| matches!(i, Item::Member(u) if u.id == d.sender && u.claim == Claim::Left));
         if !leaves {
             if let Some(change) = self.members.heard_itself(now, d.sender, from, d.incarnation, latest) {
-                self.changed(change);
+                self.changed(now, change);
             }
         }
         for item in &d.items {
@@ -686,7 +691,7 @@
             Item::Member(u) => {
                 let fits = self.config.allowed.iter().any(|n| n.contains(&u.address.ip()));
                 if let Some(change) = fits.then(|| self.members.hear(now, u, sender, latest)).flatten() {
-                    self.changed(change);
+                    self.changed(now, change);
                 }
             }
             Item::Evidence(exchange, evidence) => {
@@ -713,12 +718,18 @@
         }
     }
 
-    fn changed(&mut self, change: swim::Change) {
+    fn changed(&mut self, now: Micros, change: swim::Change) {
         match change {
             swim::Change::Member(u) => {
                 self.counts.deaths += u64::from(u.claim == Claim::Dead);
                 self.counts.contradicted += u64::from(u.id == self.me);
                 self.queue.add(Item::Member(u), times(self.members.there()));
+                if u.id == self.me {
+                    // A contradiction that spreads too slowly is no use: some hear it at once.
+                    for (_, address) in self.members.some(CONTRADICT, self.me) {
+                        self.send(now, address, Message::Items, vec![Item::Member(u)], 0.25);
+                    }
+                }
                 // A newcomer is told the own groups.
                 if u.claim == Claim::Alive {
                     let most = times(self.members.there());
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -83,7 +83,7 @@
 }
 
 async fn serve(
-    config: Config,
+    mut config: Config,
     arguments: Arguments,
     executor: Rc<LocalExecutor<'static>>,
     log: Rc<Log>,
@@ -114,9 +114,13 @@
         executor.spawn(datagrams::serve(socket, longest, gateway_queue, inbox.clone(), made)).detach();
     }
     let (gossip, gossip_queue) = bounded(DATAGRAMS);
-    if let Some(g) = &config.gossip {
+    if let Some(g) = &mut config.gossip {
         let socket = Async::<UdpSocket>::bind(g.listen).map_err(listen("gossip.listen", g.listen))?;
         said("gossip", socket.get_ref().local_addr());
+        // With port 0 the others must be told which one it became.
+        if let (true, Ok(at)) = (g.node.address.port() == 0, socket.get_ref().local_addr()) {
+            g.node.address = at;
+        }
         let made = |from, body| Inbound::Gossip { from, body };
         let longest = walnuthatch_gossip::wire::LONGEST;
         executor.spawn(datagrams::serve(socket, longest, gossip_queue, inbox.clone(), made)).detach();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1049,3 +1049,44 @@
     b.now += 5 * MS;
     assert_eq!(sent(&b.tell(stands(0, 1, 45 * MS))), [office(2)]);
 }
+
+#[test]
+fn a_peer_speaks_for_the_exchange_that_it_spoke_for_first_and_for_no_other() {
+    // The direct group is full, and peer 9 says that tandems 2 and 3 lead nowhere.
+    let mut b = Bed::new();
+    b.tell(group(1, 0.0));
+    b.tell(Event::Peer { from: PeerNo(9), body: vec![1, 0, 9, 0] });
+    for n in 2..4u8 {
+        b.tell(Event::Peer { from: PeerNo(9), body: vec![1, 0, n, 0] });
+    }
+    let over: Vec<OfficeId> = (0..3).flat_map(|id| sent(&b.call(id, 1))).collect();
+    assert!(over.contains(&office(2)) && over.contains(&office(3)), "{over:?}");
+    // Two that speak for one exchange are both not heard from then on.
+    let mut b = Bed::new();
+    b.tell(group(1, 0.0));
+    b.tell(Event::Peer { from: PeerNo(2), body: vec![1, 0, 2, 0b1_1111] });
+    b.tell(Event::Peer { from: PeerNo(7), body: vec![1, 0, 2, 0] });
+    let over: Vec<OfficeId> = (0..3).flat_map(|id| sent(&b.call(id, 1))).collect();
+    assert!(over.contains(&office(2)), "{over:?}");
+}
+
+#[test]
+fn a_suspected_exchange_gets_one_set_up_at_a_time_and_is_a_tandem_only_where_none_else_serves() {
+    let suspect = |of: &[u16]| Event::Suspected(of.iter().map(|n| ExchangeNo(*n)).collect());
+    let mut b = Bed::new();
+    b.tell(suspect(&[1]));
+    assert_eq!(sent(&b.call(1, 1)), [office(1)], "only an answer shows whether it hangs");
+    assert!(sent(&b.call(2, 1)).is_empty());
+    // The answer makes room for the next one, and with the suspicion's end all go.
+    b.tell(Event::Stands { call: CallId(1), attempt: AttemptNo(0), office: office(1), took: 10 * MS });
+    assert_eq!(sent(&b.pass(40 * MS)).len(), 1);
+    b.tell(suspect(&[]));
+    assert_eq!((sent(&b.call(3, 1)).len(), sent(&b.call(4, 1)).len()), (1, 1));
+    // As a tandem it is passed by while another serves, and taken where none does.
+    let mut b = Bed::new();
+    b.tell(group(1, 0.0));
+    b.tell(suspect(&[2, 3]));
+    assert!((0..3).all(|id| sent(&b.call(id, 1)) == [office(4)]));
+    b.tell(suspect(&[2, 3, 4]));
+    assert_eq!(sent(&b.call(9, 1)).len(), 1);
+}
