Let gossip take the platform's path between peers, and check members against a model

Need: a site's platform may name the peers and the one socket between them; and the states of members were checked by a table only. Change: listen = "peers" has gossip use peer_listen and peers, and nobody else is heard there; a proptest model checks each word, time and the end of suspicions.

--- a/crates/gossip/tests/members.rs
+++ b/crates/gossip/tests/members.rs
@@ -1,6 +1,8 @@
 //! Members on a simulated network: deaths, restarts, splits, one-way links, liars, forgeries and floods. Seeds are
 //! fixed, and the clock is virtual.
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use walnuthatch_gossip::lab::{ring, Lab, Net, CEILING, UNIX};
 use walnuthatch_gossip::node::{News, Node, Output};
 use walnuthatch_gossip::seal::Ring;
@@ -341,3 +343,48 @@
     assert_eq!(m.incarnation, Incarnation(21));
     assert!(m.get(me).is_none() && State::Alive.is_there());
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(31), ..ProptestConfig::default() })]
+    /// Random words on three members, time, and restarts of what is said, against the rules as the papers have them.
+    #[test]
+    fn members_follow_the_model(words in prop::collection::vec((2u64..5, 0u8..4, 1u64..6, 0i64..40), 1..80)) {
+        use std::collections::BTreeMap;
+        use walnuthatch_gossip::swim::Members;
+        let claims = [Claim::Alive, Claim::Suspect, Claim::Dead, Claim::Left];
+        let mut members = Members::new(MemberId(1), lab_address(1), Incarnation(1), 0);
+        let mut model: BTreeMap<u64, (Claim, u64, Micros)> = BTreeMap::new();
+        let mut now = 0;
+        for (id, claim, i, pass) in words {
+            now += pass * SECOND / 4;
+            let claim = claims[usize::from(claim)];
+            // Suspicions run out; nobody confirms them here but the one accuser.
+            for m in model.values_mut() {
+                if m.0 == Claim::Suspect && now - m.2 >= members.suspicion(1) {
+                    *m = (Claim::Dead, m.1, now);
+                }
+            }
+            members.sweep(now);
+            let u = Update { id: MemberId(id), address: lab_address(id as usize), incarnation: Incarnation(i), claim };
+            members.hear(now, u, MemberId(9), Incarnation::MAX);
+            let known = model.get(&id).copied();
+            let wins = match (known, claim) {
+                (None, _) => true,
+                (Some((_, k, _)), Claim::Alive) => i > k,
+                (Some((Claim::Alive, k, _)), _) => i >= k,
+                (Some((Claim::Suspect, k, _)), Claim::Suspect) => i > k,
+                (Some((Claim::Suspect, k, _)), _) => i >= k,
+                (Some((Claim::Dead, k, _)), Claim::Left) => i >= k,
+                (Some(_), _) => false,
+            };
+            if wins {
+                model.insert(id, (claim, i, now));
+            }
+            for (id, (claim, i, _)) in &model {
+                let m = members.get(MemberId(*id)).unwrap();
+                prop_assert_eq!((m.state.claim(), m.incarnation), (*claim, Incarnation(*i)));
+            }
+            prop_assert_eq!(members.there(), 1 + model.values().filter(|m| m.0 == Claim::Alive || m.0 == Claim::Suspect).count());
+        }
+    }
+}
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given its defaults. Every error names the key.
 
 use super::appliance_file::{self, ApplianceConfig, LogFormat};
-use super::gossip_file::{self, GossipConfig};
+use super::gossip_file::{self, GossipConfig, Platform};
 use super::toml_check::Fault;
 use crate::protocol::mgcp::agent::{AgentConfig, AnsweredBy, Gateway};
 use crate::protocol::{simulator, text_settings};
@@ -190,7 +190,9 @@
     if let Some(text) = optional("gossip.toml", named_gossip, gossip_file::FILE)? {
         let file = named_gossip.unwrap_or(Path::new(gossip_file::FILE)).display().to_string();
         let own = config.settings.own.map(|o| walnuthatch_gossip::Exchange(o.0));
-        config.gossip = gossip_file::read(&file, &text, &config.name, own).map_err(ConfigError::Faults)?;
+        let platform = config.platform_peers();
+        let read = gossip_file::read(&file, &text, &config.name, own, platform.as_ref());
+        config.gossip = read.map_err(ConfigError::Faults)?;
     }
     if let Some(a) = appliance {
         join(&mut config, a, named)?;
@@ -343,6 +345,12 @@
 }
 
 impl Config {
+    /// The path between peers, as the platform tells it; the own address is the one of its rank.
+    fn platform_peers(&self) -> Option<Platform> {
+        let address = *self.peers.get(self.settings.rank.0 as usize)?;
+        Some(Platform { listen: self.peer_listen?, address, peers: self.peers.clone() })
+    }
+
     /// Callers' connections beyond which the least needed ones are ended: callers may hold a third of the
     /// descriptors.
     pub fn usual_callers(&self) -> usize {
--- a/src/program/gossip_file.rs
+++ b/src/program/gossip_file.rs
@@ -1,6 +1,7 @@
 //! The gossip's file, `deploy/gossip.toml`, and the file of its keys.
 
 use super::toml_check::{self, Checker, Fault};
+use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -22,7 +23,7 @@
 pub struct GossipFile {
     /// Whether anything in this file counts.
     pub enabled: bool,
-    /// Where datagrams come in.
+    /// Where datagrams come in; `peers`: at `peer_listen`, with `peers` as seeds, as the platform tells them.
     pub listen: String,
     /// Where others reach it, if that is another address.
     pub advertise: Option<String>,
@@ -86,6 +87,20 @@
     pub ring: Ring,
 }
 
+/// What the platform tells of peers.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Where their datagrams come in.
+    pub listen: SocketAddr,
+    /// Where this one's seem to come from.
+    pub address: SocketAddr,
+    /// All of them.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// The word for the platform's path.
+const PEERS: &str = "peers";
+
 /// The schema of the file.
 pub fn schema() -> Value {
     serde_json::to_value(schemars::schema_for!(GossipFile)).unwrap_or_default()
@@ -100,10 +115,14 @@
     text: &str,
     name: &str,
     own: Option<Exchange>,
+    platform: Option<&Platform>,
 ) -> Result<Option<GossipConfig>, Vec<Fault>> {
     let Some((mut c, f)) = toml_check::read::<GossipFile>(file, text, &schema())? else { return Ok(None) };
     let usual = || vec!["127.0.0.0/8".to_owned(), "::1/128".to_owned()];
     let allowed = c.networks("allowed", &f.allowed.clone().unwrap_or_else(usual));
+    if f.listen == PEERS {
+        return on_platform(c, &f, name, own, platform);
+    }
     let listen = c.address("listen", &f.listen, &allowed);
     let address = match &f.advertise {
         Some(text) => c.address("advertise", text, &allowed),
@@ -112,10 +131,19 @@
     let seeds = f.seeds.iter().enumerate();
     let seeds: Vec<_> = seeds.filter_map(|(i, s)| c.address(&format!("seeds.{i}"), s, &allowed)).collect();
     let ring = keys(&mut c, Path::new(&f.key_file));
-    let l = &f.limits;
-    let ceiling = |bytes, datagrams| Ceiling { bytes, datagrams };
     let (Some(listen), Some(address), Some(ring)) = (listen, address, ring) else { return c.end(None) };
-    let node = node::Config {
+    let node = node(name, (address, seeds, allowed), own, &f.limits);
+    c.end(Some(GossipConfig { listen, node, ring }))
+}
+
+fn node(
+    name: &str,
+    (address, seeds, allowed): (SocketAddr, Vec<SocketAddr>, Vec<IpNet>),
+    own: Option<Exchange>,
+    l: &LimitsFile,
+) -> node::Config {
+    let ceiling = |bytes, datagrams| Ceiling { bytes, datagrams };
+    node::Config {
         name: name.to_owned(),
         address,
         seeds,
@@ -124,8 +152,26 @@
         send: ceiling(l.send_bytes_per_s, l.send_datagrams_per_s),
         receive: ceiling(l.receive_bytes_per_s, l.receive_datagrams_per_s),
         source: ceiling(l.source_bytes_per_s, l.source_datagrams_per_s),
+    }
+}
+
+/// Gossip on the path that the platform has for peers: only those that it names are heard.
+fn on_platform(
+    mut c: Checker<'_>,
+    f: &GossipFile,
+    name: &str,
+    own: Option<Exchange>,
+    platform: Option<&Platform>,
+) -> Result<Option<GossipConfig>, Vec<Fault>> {
+    let ring = keys(&mut c, Path::new(&f.key_file));
+    let Some(p) = platform else {
+        c.add("listen", format!("found {PEERS:?}, expected peer_listen and peers in the configuration"));
+        return c.end(None);
     };
-    c.end(Some(GossipConfig { listen, node, ring }))
+    let Some(ring) = ring else { return c.end(None) };
+    let allowed = p.peers.iter().map(|a| IpNet::from(a.ip())).collect();
+    let node = node(name, (p.address, p.peers.clone(), allowed), own, &f.limits);
+    c.end(Some(GossipConfig { listen: p.listen, node, ring }))
 }
 
 fn keys(c: &mut Checker<'_>, path: &Path) -> Option<Ring> {
@@ -170,7 +216,7 @@
             "enabled = true\nlisten = \"127.0.0.1:0\"\nseeds = [\"127.0.0.2:7946\"]\nkey_file = {:?}\n",
             keys.display().to_string()
         );
-        let read = |text: &str| read("g", text, "n1", Some(Exchange(3)));
+        let read = |text: &str| read("g", text, "n1", Some(Exchange(3)), None);
         let got = read(&good).unwrap().unwrap();
         assert_eq!((got.node.seeds.len(), got.ring.sealing()), (1, 1));
         assert!(read("enabled = false\nlisten = 7\n").unwrap().is_none());
@@ -185,6 +231,7 @@
             ("enabled = true", "enabled = true\nodd = 1", "odd"),
             ("wh-", "wx-", "expected a file that can be read"),
             (keys.to_str().unwrap(), open.to_str().unwrap(), "mode 644, expected 600"),
+            ("listen = \"127.0.0.1:0\"", "listen = \"peers\"", "expected peer_listen and peers"),
             ("seeds =", "allowed = [\"x\"]\nseeds =", "allowed.0: found \"x\", expected a network"),
         ] {
             let faults = read(&good.replacen(from, to, 1)).unwrap_err();
--- a/src/program/run.rs
+++ b/src/program/run.rs
@@ -100,7 +100,9 @@
     };
     said("callers", listener.get_ref().local_addr());
     let (peers, peer_queue) = bounded(DATAGRAMS);
-    if let Some(address) = config.peer_listen {
+    // With gossip on the peers' path that socket is gossip's.
+    let taken = config.gossip.as_ref().map(|g| g.listen);
+    if let Some(address) = config.peer_listen.filter(|a| Some(*a) != taken) {
         let socket = Async::<UdpSocket>::bind(address).map_err(listen("peer_listen", address))?;
         let made = |from, body| Inbound::Peer { from, body };
         executor.spawn(datagrams::serve(socket, PEER_LONGEST, peer_queue, inbox.clone(), made)).detach();
