--- a/crates/gossip/src/lab.rs
+++ b/crates/gossip/src/lab.rs
@@ -238,11 +238,11 @@
         self.now = self.now.max(end);
     }
 
-    /// Lets time pass until something is so, looked at each 50 ms (250 ms in large groups). When that was, if it came about by `end`.
+    /// Lets time pass until something is so, looked at each 50 ms (1 s in large groups). When that was, if it came about by `end`.
     pub fn run_while(&mut self, end: Micros, mut not_yet: impl FnMut(&Lab) -> bool) -> Option<Micros> {
         while self.now < end {
             // In large groups a look costs more than what is gained by the finer time.
-            let step = if self.nodes.len() > 200 { SECOND / 4 } else { SECOND / 20 };
+            let step = if self.nodes.len() > 200 { SECOND } else { SECOND / 20 };
             self.run_until((self.now + step).min(end));
             if !not_yet(self) {
                 return Some(self.now);
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -6,7 +6,7 @@
 use crate::evidence::{Meters, Report, Reports};
 use crate::seal::Ring;
 use crate::spread::{times, Queue};
-use crate::swim::{self, Members, State, ANSWER, HELPERS, PERIOD};
+use crate::swim::{self, Members, State, ANSWER, HELPERS, PERIOD, PRESSED};
 use crate::window::Windows;
 use crate::wire::{self, Claim, Datagram, Incarnation, Item, Message, Update, GROUPS, ROOM};
 use crate::{Exchange, MemberId, Micros, MILLI, SECOND};
@@ -24,8 +24,6 @@
 const FANOUT: usize = 12;
 /// A contradiction of what is said of the own instance goes to so many at once.
 const CONTRADICT: usize = 6;
-/// A processor is pressed from here on (of 255): then only what keeps membership goes there.
-pub const PRESSED: u8 = 200;
 /// While the own processor is pressed, periods are so many times longer.
 const PRESSED_STRETCH: Micros = 4;
 /// Incarnations that lie further ahead than this are nobody's (s): clocks differ, but not by a day.
@@ -748,7 +746,7 @@
     /// Sends a message, with as much as fits of what waits to be passed on.
     fn send(&mut self, now: Micros, to: SocketAddr, message: Message, mut items: Vec<Item>, spare: f64) {
         let used: usize = message.len() + items.iter().map(Item::len).sum::<usize>();
-        let pressed = self.members.iter().any(|m| m.1.address == to && m.1.pressed >= PRESSED);
+        let pressed = self.members.presses(to);
         if !pressed {
             self.queue.fill(ROOM.saturating_sub(used), &mut items);
         }
--- a/crates/gossip/src/spread.rs
+++ b/crates/gossip/src/spread.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::{Item, Update};
 use crate::{Exchange, MemberId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Items that may wait. Guards memory; a group of 1,000 that loses half its members has 500.
 const MOST: usize = 2048;
@@ -32,10 +32,17 @@
     order: u64,
 }
 
-/// The queue.
+/// The shortest item (bytes).
+const SHORTEST: usize = 13;
+/// Items that are looked at for one datagram; what does not fit is passed over for what does.
+const LOOKED_AT: usize = 64;
+
+/// The queue. Beside the items lies their order, so that a datagram is filled without sorting them all.
 #[derive(Debug, Default)]
 pub struct Queue {
     all: BTreeMap<About, Waiting>,
+    /// By how often they were sent, newer ones first.
+    order: BTreeSet<(u32, u64, About)>,
     next: u64,
 }
 
@@ -50,16 +57,27 @@
     /// Has an item passed on, at most so many times.
     pub fn add(&mut self, item: Item, most: u32) {
         self.next += 1;
-        if self.all.len() >= MOST && !self.all.contains_key(&about(&item)) {
-            let stalest = self.all.iter().max_by_key(|w| (w.1.sent, u64::MAX - w.1.order)).map(|w| *w.0);
-            stalest.map(|key| self.all.remove(&key));
+        let key = about(&item);
+        if self.all.len() >= MOST && !self.all.contains_key(&key) {
+            if let Some(stalest) = self.order.last().map(|o| o.2) {
+                self.remove(stalest);
+            }
+        }
+        self.remove(key);
+        self.order.insert((0, u64::MAX - self.next, key));
+        self.all.insert(key, Waiting { item, sent: 0, most, order: self.next });
+    }
+
+    /// The one place where an item leaves the queue.
+    fn remove(&mut self, key: About) {
+        if let Some(w) = self.all.remove(&key) {
+            self.order.remove(&(w.sent, u64::MAX - w.order, key));
         }
-        self.all.insert(about(&item), Waiting { item, sent: 0, most, order: self.next });
     }
 
     /// No longer passes on what is said of a member.
     pub fn drop_member(&mut self, id: MemberId) {
-        self.all.remove(&About::Member(id));
+        self.remove(About::Member(id));
     }
 
     /// What is said of a member, if it is being passed on.
@@ -72,16 +90,25 @@
 
     /// Fills up to `room` bytes, and counts what was taken as sent once more.
     pub fn fill(&mut self, mut room: usize, items: &mut Vec<Item>) {
-        let mut order: Vec<(u32, u64, About)> =
-            self.all.iter().map(|(key, w)| (w.sent, u64::MAX - w.order, *key)).collect();
-        order.sort_unstable();
-        for (_, _, key) in order {
-            let Some(w) = self.all.get_mut(&key).filter(|w| w.item.len() <= room) else { continue };
-            room -= w.item.len();
-            items.push(w.item);
+        let mut taken = Vec::new();
+        for (_, _, key) in self.order.iter().take(LOOKED_AT) {
+            if room < SHORTEST {
+                break;
+            }
+            if let Some(w) = self.all.get(key).filter(|w| w.item.len() <= room) {
+                room -= w.item.len();
+                items.push(w.item);
+                taken.push(*key);
+            }
+        }
+        for key in taken {
+            let Some(w) = self.all.get_mut(&key) else { continue };
+            self.order.remove(&(w.sent, u64::MAX - w.order, key));
             w.sent += 1;
             if w.sent >= w.most {
                 self.all.remove(&key);
+            } else {
+                self.order.insert((w.sent, u64::MAX - w.order, key));
             }
         }
     }
--- a/crates/gossip/src/swim.rs
+++ b/crates/gossip/src/swim.rs
@@ -27,6 +27,8 @@
 /// One that is dead or has left is remembered for so long (µs): far longer than what is said of it takes to reach all,
 /// so that an old word does not bring it back.
 pub const TOMBSTONE: Micros = 600 * SECOND;
+/// A processor is pressed from here on (of 255): then only what keeps membership goes there.
+pub const PRESSED: u8 = 200;
 /// Members that are known at most. Guards memory against names without end.
 pub const MEMBERS: usize = 2048;
 
@@ -92,6 +94,8 @@
     /// The own incarnation.
     pub incarnation: Incarnation,
     all: BTreeMap<MemberId, Member>,
+    /// Where those are that said that they are pressed.
+    pressed: BTreeSet<SocketAddr>,
     /// Whom to ask next, and so on: each once before any again.
     round: Vec<MemberId>,
     /// How bad the own health is, from 0 to `WORST`.
@@ -105,7 +109,17 @@
     /// Only the own instance is there.
     pub fn new(me: MemberId, address: SocketAddr, incarnation: Incarnation, seed: u64) -> Members {
         let rng = fastrand::Rng::with_seed(seed);
-        Members { me, address, incarnation, all: BTreeMap::new(), round: Vec::new(), health: 0, rng, lost: 0 }
+        Members {
+            me,
+            address,
+            incarnation,
+            all: BTreeMap::new(),
+            pressed: BTreeSet::new(),
+            round: Vec::new(),
+            health: 0,
+            rng,
+            lost: 0,
+        }
     }
 
     /// The own instance as it is passed on.
@@ -259,9 +273,19 @@
     pub fn note_pressed(&mut self, id: MemberId, pressed: u8) {
         if let Some(m) = self.all.get_mut(&id) {
             m.pressed = pressed;
+            if pressed >= PRESSED {
+                self.pressed.insert(m.address);
+            } else {
+                self.pressed.remove(&m.address);
+            }
         }
     }
 
+    /// Whether a member at this address said that it is pressed.
+    pub fn presses(&self, address: SocketAddr) -> bool {
+        self.pressed.contains(&address)
+    }
+
     /// It did not answer this instance.
     pub fn unanswered(&mut self, now: Micros, id: MemberId) -> Option<Change> {
         let m = self.all.get(&id)?;
@@ -286,6 +310,8 @@
         }
         self.all
             .retain(|_, m| !matches!(m.state, State::Dead(at) | State::Left(at) if now - at >= TOMBSTONE));
+        let there: BTreeSet<SocketAddr> = self.all.values().map(|m| m.address).collect();
+        self.pressed.retain(|a| there.contains(a));
         changes
     }
 
