--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -366,10 +366,12 @@
         for change in self.members.sweep(now) {
             self.changed(now, change);
         }
-        let there: BTreeSet<MemberId> =
-            self.members.iter().filter(|m| m.1.state.is_there()).map(|m| m.0).collect();
-        self.reports.sweep(now, |id| there.contains(&id));
-        self.bound.retain(|_, id| there.contains(id));
+        if !self.reports.is_empty() || !self.bound.is_empty() {
+            let members = &self.members;
+            let there = |id: MemberId| members.get(id).is_some_and(|m| m.state.is_there());
+            self.reports.sweep(now, there);
+            self.bound.retain(|_, id| there(*id));
+        }
         if self.leaving {
             return;
         }
@@ -390,11 +392,8 @@
 
     /// Looks for whom it lost, or never knew.
     fn reconnect(&mut self, now: Micros, alone: bool) {
-        let known: BTreeSet<SocketAddr> =
-            self.members.iter().filter(|m| m.1.state.is_there()).map(|m| m.1.address).collect();
-        let missing: Vec<SocketAddr> = self.config.seeds.clone();
-        let missing: Vec<SocketAddr> =
-            missing.into_iter().filter(|s| *s != self.config.address && !known.contains(s)).collect();
+        let elsewhere = |s: &&SocketAddr| **s != self.config.address && !self.members.is_at(**s);
+        let missing: Vec<SocketAddr> = self.config.seeds.iter().filter(elsewhere).copied().collect();
         if !missing.is_empty() {
             let n = if alone { missing.len().min(HELPERS) } else { 1 };
             for _ in 0..n {
--- a/crates/gossip/src/swim.rs
+++ b/crates/gossip/src/swim.rs
@@ -154,16 +154,12 @@
 
     /// How long a suspicion lasts, by the group's size and those who confirm it.
     pub fn suspicion(&self, accusers: usize) -> Micros {
-        let size = (self.there() as f64).log10().max(1.0);
-        let least = ALPHA * size * PERIOD as f64;
-        // With nobody to confirm it, as between two, the longest wait would be for nothing.
-        let others = self.there().saturating_sub(2).min(CONFIRMED);
-        if others == 0 {
-            return least as Micros;
-        }
-        let most = BETA * least;
-        let share = (accusers.max(1) as f64).ln() / (others as f64 + 1.0).ln();
-        (most - (most - least) * share).max(least) as Micros
+        suspicion(self.there(), accusers)
+    }
+
+    /// Whether somebody that is there listens at an address.
+    pub fn is_at(&self, address: SocketAddr) -> bool {
+        self.all.values().any(|m| m.address == address && m.state.is_there())
     }
 
     /// Takes what is said of a member. `from`: who says it; `latest`: incarnations beyond this are nobody's.
@@ -295,8 +291,9 @@
 
     /// Suspicions whose time is up become deaths; tombstones whose time is up go.
     pub fn sweep(&mut self, now: Micros) -> Vec<Change> {
+        let there = self.there();
         let over = |m: &&Member| match &m.state {
-            State::Suspect(since, accusers) => now - since >= self.suspicion(accusers.len()),
+            State::Suspect(since, accusers) => now - since >= suspicion(there, accusers.len()),
             _ => false,
         };
         let dead: Vec<MemberId> = self.all.iter().filter(|m| over(&m.1)).map(|m| *m.0).collect();
@@ -310,8 +307,10 @@
         }
         self.all
             .retain(|_, m| !matches!(m.state, State::Dead(at) | State::Left(at) if now - at >= TOMBSTONE));
-        let there: BTreeSet<SocketAddr> = self.all.values().map(|m| m.address).collect();
-        self.pressed.retain(|a| there.contains(a));
+        if !self.pressed.is_empty() {
+            let there: BTreeSet<SocketAddr> = self.all.values().map(|m| m.address).collect();
+            self.pressed.retain(|a| there.contains(a));
+        }
         changes
     }
 
@@ -404,3 +403,17 @@
 pub fn group(id: MemberId) -> usize {
     (id.0 % GROUPS as u64) as usize
 }
+
+/// How long a suspicion lasts in a group of so many, by those who confirm it.
+fn suspicion(there: usize, accusers: usize) -> Micros {
+    let size = (there as f64).log10().max(1.0);
+    let least = ALPHA * size * PERIOD as f64;
+    // With nobody to confirm it, as between two, the longest wait would be for nothing.
+    let others = there.saturating_sub(2).min(CONFIRMED);
+    if others == 0 {
+        return least as Micros;
+    }
+    let most = BETA * least;
+    let share = (accusers.max(1) as f64).ln() / (others as f64 + 1.0).ln();
+    (most - (most - least) * share).max(least) as Micros
+}
