Log each request, set-up, connection and list change with its name and its reason

At the level debug it now has them under walnuthatch::calls, ::connections and ::list; the phases of a stop are told at info. Answers carry a typed reason, ends of connections too.

--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -2,6 +2,7 @@
 //! reads costs calls nothing. What does not fit in the queue is lost, and how much is counted and said.
 
 use super::appliance_file::LogFormat;
+use crate::protocol::json_lines::Sid;
 use crate::routing::ledger::{Answer, Output};
 use std::fmt;
 use std::io;
@@ -18,6 +19,10 @@
 const LINES: usize = 1024;
 /// What is logged where nobody says.
 const USUAL: &str = "info";
+/// Target of the events of calls.
+pub const CALLS: &str = "walnuthatch::calls";
+/// Target of the events of connections.
+pub const CONNECTIONS: &str = "walnuthatch::connections";
 /// The environment's variable for the filter.
 pub const VARIABLE: &str = "WALNUTHATCH_LOG";
 
@@ -116,26 +121,33 @@
     }
 }
 
-/// What becomes of calls, as events at the levels debug and trace.
-pub fn call(output: &Output) {
+/// What becomes of calls, as events at the level debug. `sid` is the caller's name of the call, if it has one.
+pub fn call(output: &Output, sid: Option<Sid>) {
+    let sid = sid.map(tracing::field::display);
     match output {
-        Output::Answer { call, answer, destination, .. } => {
+        Output::Answer { call, answer, reason, destination, last, .. } => {
             let answer = match answer {
                 Answer::Stands(_) => "stands",
                 Answer::Refused { .. } => "refused",
                 Answer::Failed => "failed",
             };
-            tracing::debug!(target: "walnuthatch::calls", call = call.0, exchange = destination.0, "{answer}");
+            let exchange = destination.0;
+            let last = last.and_then(|l| l.how);
+            tracing::debug!(target: CALLS, sid, call = call.0, exchange, ?reason, ?last, "{answer}");
         }
-        Output::SetUp { call, attempt, wait, .. } => {
-            tracing::trace!(target: "walnuthatch::calls", call = call.0, attempt = attempt.0, wait, "set-up sent");
+        Output::SetUp { call, attempt, wait, office } => {
+            let (attempt, office) = (attempt.0, u32::from_be_bytes(office.addr));
+            tracing::debug!(target: CALLS, sid, call = call.0, attempt, office, wait, "set-up sent");
+        }
+        Output::Clear { call, attempt, .. } => {
+            tracing::debug!(target: CALLS, sid, call = call.0, attempt = attempt.0, "given up or released");
         }
         Output::AttemptEnded { call, leg, ending, cause } => {
             let exchange = leg.map(|e| e.0);
-            tracing::debug!(target: "walnuthatch::calls", call = call.0, exchange, ?cause, "set-up ended: {ending:?}");
+            tracing::debug!(target: CALLS, sid, call = call.0, exchange, ?cause, "set-up ended: {ending:?}");
         }
         Output::Release { call, cut, .. } => {
-            tracing::trace!(target: "walnuthatch::calls", call = call.0, cut, "over");
+            tracing::debug!(target: CALLS, sid, call = call.0, cut, "over");
         }
         _ => {}
     }
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -6,7 +6,7 @@
 use super::console;
 use super::counters::{self, WireCounts};
 use super::gossip::Gossip;
-use super::log;
+use super::log::{self, CALLS, CONNECTIONS};
 use super::telemetry::ExportCounts;
 use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
 use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
@@ -17,7 +17,7 @@
 use crate::protocol::ConnId;
 use crate::routing::deadlines::Deadlines;
 use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
-use crate::routing::ledger::{FrontId, Ledger, LedgerDue, Output};
+use crate::routing::ledger::{AnswerReason, FrontId, Ledger, LedgerDue, Output};
 use crate::transport::outbox::Outbox;
 use crate::transport::saver::Saving;
 use crate::transport::{ConnNews, Inbound, Side};
@@ -182,7 +182,7 @@
         match news {
             Inbound::Conn(side, conn, news) => self.conn(now, side, conn, news),
             Inbound::List(event) => self.list(now, &event.data, false),
-            Inbound::Stream(Ok(())) => {}
+            Inbound::Stream(Ok(())) => tracing::debug!("coordinator: stream up"),
             Inbound::Stream(Err(why)) => {
                 self.counts.stream_losses += 1;
                 tracing::info!("coordinator: {why}");
@@ -269,7 +269,10 @@
                 Due::Gossip => self.gossip_due(now),
                 Due::Appliance => self.with_appliance(now, Appliance::look),
                 Due::Stop => {}
-                Due::LastAnswers => self.ledger.fail_open(now),
+                Due::LastAnswers => {
+                    tracing::info!("stop: {} calls still open are failed", self.ledger.open_calls());
+                    self.ledger.fail_open(now);
+                }
             }
             self.settle(now);
         }
@@ -327,6 +330,7 @@
     pub fn stop(&mut self, now: Micros) {
         if self.stopping.is_none() {
             self.stopping = Some(now);
+            tracing::info!("stop asked for: {} calls open", self.ledger.open_calls());
             if let Some(g) = &mut self.gossip {
                 g.leave(now);
             }
@@ -341,7 +345,10 @@
     fn conn(&mut self, now: Micros, side: Side, conn: ConnId, news: ConnNews) {
         match (side, news) {
             (Side::Callers, ConnNews::Accepted(outbox)) => self.accepted(now, conn, outbox),
-            (Side::Exchanges, ConnNews::Connected) => self.links.connected(now, conn),
+            (Side::Exchanges, ConnNews::Connected) => {
+                tracing::debug!(target: CONNECTIONS, conn = conn.0, "up");
+                self.links.connected(now, conn);
+            }
             (_, ConnNews::Message(message)) => {
                 self.counts.messages_in += 1;
                 match side {
@@ -349,7 +356,8 @@
                     Side::Exchanges => self.links.message(now, conn, message),
                 }
             }
-            (side, ConnNews::Bad(_)) => {
+            (side, ConnNews::Bad(why)) => {
+                tracing::debug!(target: CONNECTIONS, ?side, conn = conn.0, "unreadable: {why}");
                 self.counts.malformed += 1;
                 match side {
                     Side::Callers => self.callers.spoilt(now, conn),
@@ -359,6 +367,7 @@
             (Side::Exchanges, ConnNews::Half(half)) => self.links.half(now, conn, half),
             (Side::Callers, ConnNews::Half(half)) => self.callers.half(now, conn, half),
             (side, ConnNews::Closed(how)) => {
+                tracing::debug!(target: CONNECTIONS, ?side, conn = conn.0, "closed: {how:?}");
                 // The one place where an outbox is given back.
                 self.outboxes.remove(&(side, conn));
                 match side {
@@ -375,6 +384,7 @@
 
     fn accepted(&mut self, now: Micros, conn: ConnId, outbox: Outbox) {
         self.counts.accepted += 1;
+        tracing::debug!(target: CONNECTIONS, conn = conn.0, "caller's connection up");
         self.outboxes.insert((Side::Callers, conn), outbox);
         self.callers.opened(now, conn);
     }
@@ -382,10 +392,15 @@
     fn caller(&mut self, now: Micros, conn: ConnId, message: Message) {
         match self.callers.message(now, conn, message) {
             Ask::Offer(sid, key, offer) => {
+                let (class, left) = (offer.ask.class, offer.ask.patience);
+                tracing::debug!(target: CALLS, %sid, conn = conn.0, class, left, "taken");
                 let call = self.ledger.offer(now, *offer);
                 self.callers.taken(conn, sid, key, call);
             }
-            Ask::Left(call) => self.ledger.caller_left(now, call),
+            Ask::Left(call) => {
+                tracing::debug!(target: CALLS, call = call.0, conn = conn.0, "given up or released by its caller");
+                self.ledger.caller_left(now, call);
+            }
             Ask::LeftEarlier(sid) => self.links.release_earlier(sid),
             Ask::Test(sid) => {
                 let ready = self.links.settled() || now - self.born >= SETTLE;
@@ -419,6 +434,10 @@
             ListNews::Cached(_) => ListNews::Cached(whole()),
             other => other,
         };
+        for (entry, place) in entries.iter().zip(&update.places) {
+            let (member, state) = (&place.member, entry.state);
+            tracing::debug!(target: "walnuthatch::list", index = update.index, %member, "{state:?}");
+        }
         // The ledger first: the guard on drains must know before anything else is done.
         self.ledger.list(now, news);
         self.links.list(now, &entries, &update.places, complete);
@@ -507,7 +526,8 @@
 
     fn link_output(&mut self, now: Micros, output: LinkOutput) {
         match output {
-            LinkOutput::Connect(conn, Place { address, .. }) => {
+            LinkOutput::Connect(conn, Place { address, member }) => {
+                tracing::debug!(target: CONNECTIONS, conn = conn.0, %member, %address, "connecting");
                 let outbox = Outbox::default();
                 self.outboxes.insert((Side::Exchanges, conn), outbox.clone());
                 self.tasks.push(Task::Connect(conn, address, outbox));
@@ -521,7 +541,8 @@
                     self.send(Side::Exchanges, conn, None, &message);
                 }
             }
-            LinkOutput::HangUp(conn) => {
+            LinkOutput::HangUp(conn, why) => {
+                tracing::debug!(target: CONNECTIONS, conn = conn.0, "exchange's connection ended: {why:?}");
                 if let Some(outbox) = self.outboxes.get(&(Side::Exchanges, conn)) {
                     outbox.cut();
                 }
@@ -548,7 +569,10 @@
         let outbox = |conn| self.outboxes.get(&(Side::Callers, conn));
         match output {
             CallerOutput::Tell(conn, message) => self.send(Side::Callers, conn, None, &message),
-            CallerOutput::Fail(call) => self.ledger.fail(now, call),
+            CallerOutput::Fail(call) => self.ledger.fail(now, call, AnswerReason::ConnectionEnding),
+            CallerOutput::Ending(conn, why) => {
+                tracing::debug!(target: CONNECTIONS, conn = conn.0, "caller's connection ends: {why:?}");
+            }
             CallerOutput::End(conn) => drop(outbox(conn).map(Outbox::close)),
             CallerOutput::Cut(conn) => drop(outbox(conn).map(Outbox::cut)),
             CallerOutput::Wake(at, due) => self.deadlines.add(at, Due::Caller(due)),
--- a/src/program/switchboard/gossip.rs
+++ b/src/program/switchboard/gossip.rs
@@ -9,7 +9,14 @@
 impl Switchboard {
     /// The appliance and gossip hear what the ledger does.
     pub(super) fn observe(&mut self, now: Micros, output: &ledger::Output) {
-        crate::program::log::call(output);
+        if let ledger::Output::Answer { call, .. }
+        | ledger::Output::SetUp { call, .. }
+        | ledger::Output::Clear { call, .. }
+        | ledger::Output::AttemptEnded { call, .. }
+        | ledger::Output::Release { call, .. } = output
+        {
+            crate::program::log::call(output, self.callers.particulars(*call).map(|p| p.0));
+        }
         if let Some(a) = &mut self.appliance {
             a.observe(now, output, &self.ledger, &self.aims);
         }
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -51,6 +51,21 @@
     Nothing,
 }
 
+/// Why this side ends a caller's connection, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// What came on it could not be read, or stopped within a message.
+    Unreadable,
+    /// A set-up named a call that is open or stands.
+    NameInUse,
+    /// Nothing came for too long.
+    Idle,
+    /// Too many set-ups in a row were turned away.
+    TurnedAway,
+    /// Too many connections are open.
+    TooMany,
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerOutput {
@@ -58,6 +73,8 @@
     Tell(ConnId, Message),
     /// Fail this call, whose caller is not to be served any further.
     Fail(CallId),
+    /// This connection takes nothing more in, for this reason.
+    Ending(ConnId, EndReason),
     /// Close this connection once what waits on it has gone out.
     End(ConnId),
     /// Close it at once.
@@ -202,7 +219,7 @@
         self.out.push(CallerOutput::Wake(now + IDLE_NEW, CallerDue::Idle(conn)));
         if over {
             self.counts.turned_away += 1;
-            self.end(now, spare.unwrap_or(conn));
+            self.end(now, spare.unwrap_or(conn), EndReason::TooMany);
         }
     }
 
@@ -228,7 +245,7 @@
     /// What came on a connection can't be read, so that nothing after it can be either.
     pub fn spoilt(&mut self, now: Micros, conn: ConnId) {
         self.counts.spoilt += 1;
-        self.end(now, conn);
+        self.end(now, conn, EndReason::Unreadable);
     }
 
     /// A message has begun on a connection, or what had begun is whole.
@@ -241,9 +258,10 @@
     }
 
     /// Ends a connection: fails what is open on it and closes it then.
-    fn end(&mut self, now: Micros, conn: ConnId) {
+    fn end(&mut self, now: Micros, conn: ConnId, reason: EndReason) {
         let Some(c) = self.conns.get_mut(&conn).filter(|c| !c.ending) else { return };
         c.ending = true;
+        self.out.push(CallerOutput::Ending(conn, reason));
         self.out.push(CallerOutput::Wake(now + ENDING, CallerDue::Ending(conn)));
         let open = self.open_on(conn);
         if open.is_empty() {
@@ -269,7 +287,7 @@
                 let needed = c.open > 0 || c.standing > 0;
                 if !needed && now - c.used >= limit {
                     self.counts.idle += 1;
-                    return self.end(now, conn);
+                    return self.end(now, conn, EndReason::Idle);
                 }
                 let at = if needed { now } else { c.used };
                 self.out.push(CallerOutput::Wake(at + limit, due));
@@ -339,7 +357,7 @@
         if self.by_sid.contains_key(&sid) {
             // Guards against a second answer to one call: nothing is said about its name.
             self.counts.repeated += 1;
-            self.end(now, conn);
+            self.end(now, conn, EndReason::NameInUse);
             return Ask::Nothing;
         }
         if self.conns.get(&conn).is_some_and(|c| !c.proven && c.open >= OPEN_NEW) {
@@ -455,7 +473,7 @@
             self.end_if_answered(conn);
         } else if !c.proven && c.turned_away >= TURNED_AWAY && c.open == 0 {
             self.counts.idle += 1;
-            self.end(now, conn);
+            self.end(now, conn, EndReason::TurnedAway);
         }
     }
 
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -77,6 +77,19 @@
     Look(ConnId, Micros),
 }
 
+/// Why this side ends a connection, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HangUpReason {
+    /// It did not come up in time.
+    NotUpInTime,
+    /// What came on it could not be read, or stopped within a message.
+    Unreadable,
+    /// Nothing came on it, not even the answer to a test.
+    Silent,
+    /// Its exchange was removed from the list.
+    MemberRemoved,
+}
+
 /// What is to be done, or was learnt.
 #[derive(Debug, PartialEq)]
 pub enum LinkOutput {
@@ -101,7 +114,7 @@
         message: Message,
     },
     /// End a connection.
-    HangUp(ConnId),
+    HangUp(ConnId, HangUpReason),
     /// Come back then.
     Wake(Micros, LinkDue),
     /// A set-up was answered.
@@ -332,7 +345,7 @@
         let Some(link) = self.links.remove(&office) else { return };
         if let Line::Connecting(conn) | Line::Up(conn) = link.line {
             self.conns.remove(&conn);
-            self.out.push(LinkOutput::HangUp(conn));
+            self.out.push(LinkOutput::HangUp(conn, HangUpReason::MemberRemoved));
         }
     }
 
@@ -424,7 +437,7 @@
         if let Some(link) = link {
             self.counts.spoilt += 1;
             self.out.push(LinkOutput::GaveUp(link.place.member.clone(), "what comes can't be read"));
-            self.out.push(LinkOutput::HangUp(conn));
+            self.out.push(LinkOutput::HangUp(conn, HangUpReason::Unreadable));
             self.closed(now, conn, Closing::Ours);
         }
     }
@@ -447,7 +460,7 @@
                 link.silences += 1;
                 self.counts.stalled += 1;
                 self.out.push(LinkOutput::GaveUp(link.place.member.clone(), "nothing comes"));
-                self.out.push(LinkOutput::HangUp(conn));
+                self.out.push(LinkOutput::HangUp(conn, HangUpReason::Silent));
                 self.end_sent(now, office, how);
                 return self.closed(now, conn, Closing::Ours);
             }
@@ -478,7 +491,7 @@
                 let office = self.conns.get(&conn).copied();
                 let link = office.and_then(|o| self.links.get(&o));
                 if link.is_some_and(|l| l.line == Line::Connecting(conn)) {
-                    self.out.push(LinkOutput::HangUp(conn));
+                    self.out.push(LinkOutput::HangUp(conn, HangUpReason::NotUpInTime));
                     self.closed(now, conn, Closing::NotMade);
                 }
             }
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -48,6 +48,21 @@
     Failed,
 }
 
+/// Why a call got its final answer, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerReason {
+    /// An exchange answered the set-up.
+    Answered,
+    /// The decision module decided so.
+    Decided,
+    /// The caller is about to give up.
+    ClientDeadline,
+    /// The caller's connection is being ended.
+    ConnectionEnding,
+    /// The program stops.
+    Shutdown,
+}
+
 /// What a deadline of the ledger is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LedgerDue {
@@ -90,6 +105,8 @@
         call: CallId,
         /// The answer.
         answer: Answer,
+        /// Why.
+        reason: AnswerReason,
         /// When the call was taken.
         taken: Micros,
         /// Where it goes.
@@ -221,9 +238,9 @@
 }
 
 impl Entry {
-    fn answer(&self, call: CallId, answer: Answer) -> Output {
+    fn answer(&self, call: CallId, answer: Answer, reason: AnswerReason) -> Output {
         let (front, destination) = (self.offer.front, self.offer.ask.destination);
-        Output::Answer { front, call, answer, taken: self.taken, destination, last: self.last }
+        Output::Answer { front, call, answer, reason, taken: self.taken, destination, last: self.last }
     }
 }
 
@@ -341,7 +358,7 @@
         entry.stage = Stage::Standing { attempt, office, since: now };
         entry.last = Some(Last { leg: entry.leg, took: now - since, how: None });
         let answer = Answer::Stands(text);
-        let output = entry.answer(call, answer);
+        let output = entry.answer(call, answer, AnswerReason::Answered);
         self.open -= 1;
         self.tally.stood += 1;
         self.out.push(output);
@@ -483,14 +500,14 @@
                     Stage::Deciding => {}
                 }
                 // Guards against a module that holds a call past its caller's patience.
-                self.fail(now, call);
+                self.fail(now, call, AnswerReason::ClientDeadline);
             }
         }
     }
 
     /// Fails a call that is still open, whatever the module would do with it.
-    pub fn fail(&mut self, now: Micros, call: CallId) {
-        if self.finish(call, Answer::Failed) {
+    pub fn fail(&mut self, now: Micros, call: CallId, reason: AnswerReason) {
+        if self.finish(call, Answer::Failed, reason) {
             self.drive(now, Event::CallerGone(call));
         }
     }
@@ -499,7 +516,7 @@
     pub fn fail_open(&mut self, now: Micros) {
         let stands = |e: &Entry| matches!(e.stage, Stage::Standing { .. });
         let open: Vec<CallId> = self.calls.iter().filter(|(_, e)| !stands(e)).map(|(&c, _)| c).collect();
-        open.into_iter().for_each(|call| self.fail(now, call));
+        open.into_iter().for_each(|call| self.fail(now, call, AnswerReason::Shutdown));
     }
 
     /// What is to be done, in order.
@@ -579,8 +596,12 @@
                 Action::SetTimer { after, token } => {
                     self.out.push(Output::Wake(now + after, LedgerDue::Module(token)));
                 }
-                Action::Refuse { call, pause } => drop(self.finish(call, Answer::Refused { pause })),
-                Action::Fail(call) => drop(self.finish(call, Answer::Failed)),
+                Action::Refuse { call, pause } => {
+                    self.finish(call, Answer::Refused { pause }, AnswerReason::Decided);
+                }
+                Action::Fail(call) => {
+                    self.finish(call, Answer::Failed, AnswerReason::Decided);
+                }
                 Action::CallOff { call, attempt } => {
                     self.stop_attempt(now, call, attempt, Ending::CalledOff);
                 }
@@ -643,7 +664,7 @@
     }
 
     /// The one place where an unanswered call gets its final answer, other than standing.
-    fn finish(&mut self, call: CallId, answer: Answer) -> bool {
+    fn finish(&mut self, call: CallId, answer: Answer, reason: AnswerReason) -> bool {
         let Some(entry) = self.calls.get(&call) else { return false };
         match entry.stage {
             Stage::Standing { .. } => return false,
@@ -654,7 +675,7 @@
             Answer::Refused { .. } => self.tally.refused += 1,
             _ => self.tally.failed += 1,
         }
-        self.out.push(entry.answer(call, answer));
+        self.out.push(entry.answer(call, answer, reason));
         self.calls.remove(&call);
         self.open -= 1;
         true
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -128,7 +128,7 @@
                     }
                 }
                 LinkOutput::TakeBack { call, .. } => assert_eq!(self.legs[call.0 as usize], Leg::Cleared),
-                LinkOutput::HangUp(conn) => {
+                LinkOutput::HangUp(conn, _) => {
                     assert_eq!(self.conn.map(|c| c.0), Some(conn));
                     self.conn = None;
                 }
@@ -387,6 +387,9 @@
                         self.callers.answer(self.now, call, self::Answer::Failed);
                         assert!(!self.calls.remove(&call).unwrap().2, "what stands is not failed");
                     }
+                    CallerOutput::Ending(conn, _) => {
+                        assert!(!self.conns[&conn].ended, "said before its end");
+                    }
                     CallerOutput::End(conn) => {
                         assert_eq!(self.open_on(conn), 0, "every set-up taken is answered first");
                         let c = self.conns.get_mut(&conn).unwrap();
