--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod callers;
 mod exchange;
+mod host;
 
 pub use callers::{Callers, Load, Table};
 pub use exchange::{Exchange, Traits};
+pub use host::Host;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the socket tests share: the program as a process, with its configuration.
 #![allow(dead_code)]
 
+pub mod lines;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -55,6 +57,10 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            // What a failed test's program said is the first thing that its cause is looked for in.
+            self.said.lock().unwrap().iter().for_each(|line| println!("{line}"));
+        }
         drop(self.child.kill());
         drop(self.child.wait());
     }
