Let calls stand on a lease that only the process which has them renews

The class of cause is a wait for somebody else's word without a limit of one's own.

A call whose lease is over is cut towards its caller and released at the exchange. Links with calls on them are tried again every 150 ms at the longest. The model of a link gains machines that vanish and are replaced.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -73,6 +73,7 @@
         ("exchanges.late_answers", l.late_answers),
         ("exchanges.stray", l.stray),
         ("exchanges.found_cut", l.found_cut),
+        ("exchanges.lease_expired", l.lease_expired),
         ("list.events", w.list_events),
         ("list.bad_events", w.bad_list_events),
         ("list.stream_losses", w.stream_losses),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -561,6 +561,9 @@
             LinkOutput::GaveUp(member, why) => {
                 tracing::info!(%member, "exchange {member}: connection given up: {why}");
             }
+            LinkOutput::LeaseOver(member, calls) => {
+                tracing::info!(%member, calls, "exchange {member}: nothing heard for too long, {calls} calls cut");
+            }
             LinkOutput::Earlier(sid, code) => self.callers.release_earlier(now, sid, code),
         }
     }
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -5,6 +5,7 @@
 
 use super::json_lines::{cause, EarlierLife, Kind, Message, Sid};
 use super::membership::Place;
+use super::upstream_lease::{Generation, Leases};
 use super::ConnId;
 use crate::routing::interface::{
     AttemptNo, CallId, Cause, Ending, ExchangeNo, ListEntry, ListState, LoadReport, Micros, OfficeId,
@@ -14,6 +15,8 @@
 
 /// First and longest wait before a connection that did not come up, or told nothing, is tried again (µs).
 const RETRY: (Micros, Micros) = (20_000, 1_000_000);
+/// The longest such wait while calls stand there, so that their exchange is heard of before their lease is over (µs).
+const RETRY_WITH_CALLS: Micros = 150_000;
 /// A message that has begun on a connection is whole by then, or the connection is of no further use (µs): on the
 /// way of a message of 16 KiB nothing takes that long.
 const HALF: Micros = 300_000;
@@ -36,6 +39,8 @@
 /// answer may have been on its way, and what it took is taken still. Well under the quiet period, after which the
 /// same name may be set up again.
 const RELEASE_RESET: Micros = 400_000;
+/// A lease that this program's own standing still has let run out is looked at again this long after (µs).
+const LEASE_GRACE: Micros = 300_000;
 /// A removed exchange has this long to end its calls in words (µs).
 const GONE_GRACE: Micros = 1_000_000;
 /// A release that no connection could carry is kept for this long (µs).
@@ -75,6 +80,8 @@
     Half(ConnId, Micros),
     /// Look whether a connection is silent; when that was meant to be.
     Look(ConnId, Micros),
+    /// The lease of a call that stands may be over; when that was meant to be.
+    Lease(OfficeId, Micros),
 }
 
 /// Why this side ends a connection, for the log.
@@ -129,6 +136,8 @@
     Earlier(Sid, u16),
     /// The connection to this member of the list was given up, and why: for the log.
     GaveUp(String, &'static str),
+    /// So many calls at this member were cut since nothing showed any more that they stand: for the log.
+    LeaseOver(String, usize),
 }
 
 /// Counts of what was odd.
@@ -150,6 +159,8 @@
     pub stray: u64,
     /// Calls taken as cut since their exchange was found dead.
     pub found_cut: u64,
+    /// Those of them whose lease was over.
+    pub lease_expired: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -158,7 +169,8 @@
     Waiting,
     /// Its set-up went out on this connection.
     Sent(ConnId),
-    Standing,
+    /// It stands, and this process at the exchange has it.
+    Standing(Generation),
 }
 
 #[derive(Debug)]
@@ -204,6 +216,10 @@
     half: Option<Micros>,
     /// Releases that no connection could carry, and until when they are kept.
     owed: Vec<(Micros, Sid)>,
+    /// For how long the calls that stand there are taken to stand.
+    leases: Leases,
+    /// The lease is looked at by then at the latest.
+    lease_due: Option<Micros>,
 }
 
 /// All links.
@@ -304,6 +320,8 @@
             silences: 0,
             half: None,
             owed: Vec::new(),
+            leases: Leases::new(now),
+            lease_due: None,
         };
         let link = self.links.entry(e.office).or_insert_with(fresh);
         let restarted = e.last_start.is_some() && e.last_start != link.started;
@@ -394,6 +412,9 @@
         let was_up = matches!(link.line, Line::Up(_));
         link.line = Line::Down;
         link.settled = true;
+        if was_up {
+            link.leases.lost();
+        }
         match how {
             Closing::Refused => {
                 self.counts.refused += 1;
@@ -423,7 +444,9 @@
         if was_up && link.heard.is_some() {
             self.connect(now, office);
         } else {
-            let due = now + link.retry;
+            let standing = |l: &Leg| l.office == office && matches!(l.stage, Stage::Standing(_));
+            let longest = if self.legs.values().any(standing) { RETRY_WITH_CALLS } else { RETRY.1 };
+            let due = now + link.retry.min(longest);
             link.retry_due = Some(due);
             link.retry = (link.retry * 2).min(RETRY.1);
             self.out.push(LinkOutput::Wake(due, LinkDue::Retry(office)));
@@ -518,6 +541,7 @@
                 }
             }
             LinkDue::Look(conn, meant) => self.look(now, conn, meant),
+            LinkDue::Lease(office, meant) => self.look_at_leases(now, office, meant),
             LinkDue::Probe(sid) => {
                 if let Some(office) = self.probes.remove(&sid) {
                     self.out.push(LinkOutput::ProbeFailed(office));
@@ -565,21 +589,27 @@
             return;
         }
         let Some((sid, leg)) = self.remove_leg(call) else { return };
-        let message = Message::close(sid, cause::NORMAL);
-        let Some(link) = self.links.get_mut(&leg.office) else { return };
-        match (leg.stage, link.line) {
-            (Stage::Waiting, _) => {}
-            (Stage::Sent(conn), _) => self.out.push(LinkOutput::TakeBack { conn, call, message }),
-            (Stage::Standing, Line::Up(conn)) => {
-                self.out.push(LinkOutput::Send { conn, message, set_up: None });
-            }
-            (Stage::Standing, _) => {
-                link.owed.retain(|o| now < o.0);
-                link.owed.push((now + OWED_FOR, sid));
+        match leg.stage {
+            Stage::Waiting => {}
+            Stage::Sent(conn) => {
+                let message = Message::close(sid, cause::NORMAL);
+                self.out.push(LinkOutput::TakeBack { conn, call, message });
             }
+            Stage::Standing(_) => self.release_at(now, leg.office, sid),
         }
     }
 
+    /// Releases a call at its exchange, now or on the next connection.
+    fn release_at(&mut self, now: Micros, office: OfficeId, sid: Sid) {
+        let Some(link) = self.links.get_mut(&office) else { return };
+        if let Line::Up(conn) = link.line {
+            let message = Message::close(sid, cause::NORMAL);
+            return self.out.push(LinkOutput::Send { conn, message, set_up: None });
+        }
+        link.owed.retain(|o| now < o.0);
+        link.owed.push((now + OWED_FOR, sid));
+    }
+
     /// Releases a call of an earlier life: the exchange that has it is not known, and the others know no such call.
     pub fn release_earlier(&mut self, sid: Sid) {
         for link in self.links.values() {
@@ -612,6 +642,7 @@
             let gap = link.heard.map_or(link.gap, |at| (now - at).min(SILENT.2) as f64);
             link.gap += GAP_SMOOTH * (gap - link.gap);
             (link.heard, link.tested) = (Some(now), None);
+            link.leases.heard(now);
             if message.kind != Kind::Status {
                 link.silences = 0;
             }
@@ -621,11 +652,12 @@
         match (message.kind, leg) {
             (Kind::Ready, Some(leg)) => {
                 if matches!(leg.stage, Stage::Sent(_)) {
-                    leg.stage = Stage::Standing;
+                    let (call, attempt) = (leg.call, leg.attempt);
                     if let Some(link) = self.links.get_mut(&office) {
                         link.took = now - leg.began;
+                        leg.stage = Stage::Standing(link.leases.current());
                     }
-                    let (call, attempt) = (leg.call, leg.attempt);
+                    self.watch_leases(office);
                     self.group(office, load);
                     self.out.push(LinkOutput::Answered(call, attempt, message.text));
                 }
@@ -640,7 +672,10 @@
                 }
             }
             (Kind::Close, Some(leg)) => {
-                let stood = leg.stage == Stage::Standing;
+                let stood = matches!(leg.stage, Stage::Standing(_));
+                if let (Stage::Standing(generation), Some(link)) = (leg.stage, self.links.get_mut(&office)) {
+                    link.leases.confirm(generation);
+                }
                 let how = closing(stood, message.code, message.field("note").as_deref());
                 let call = leg.call;
                 self.end_leg(call, how, load);
@@ -711,9 +746,62 @@
     }
 
     fn cut_standing(&mut self, office: OfficeId, which: impl Fn(&Leg) -> bool) {
-        let cut = self.end_legs(office, Ending::Reset, |l| l.stage == Stage::Standing && which(l));
+        let standing = |l: &Leg| matches!(l.stage, Stage::Standing(_));
+        let cut = self.end_legs(office, Ending::Reset, |l| standing(l) && which(l));
         self.counts.found_cut += cut as u64;
     }
+
+    // ---- Leases ----
+
+    /// The generations of the calls that stand at an exchange.
+    fn generations(&self, office: OfficeId) -> impl Iterator<Item = Generation> + '_ {
+        self.legs.values().filter(move |l| l.office == office).filter_map(|l| match l.stage {
+            Stage::Standing(generation) => Some(generation),
+            Stage::Waiting | Stage::Sent(_) => None,
+        })
+    }
+
+    /// Has the leases of the calls at an exchange looked at when the first of them is over.
+    fn watch_leases(&mut self, office: OfficeId) {
+        let Some(link) = self.links.get(&office) else { return };
+        let Some(due) = self.generations(office).map(|g| link.leases.expires(g)).min() else { return };
+        if link.lease_due.is_some_and(|at| at <= due) {
+            return;
+        }
+        if let Some(link) = self.links.get_mut(&office) {
+            link.lease_due = Some(due);
+        }
+        self.out.push(LinkOutput::Wake(due, LinkDue::Lease(office, due)));
+    }
+
+    /// Guards callers against an exchange that is gone without a word: the calls whose lease is over are cut, towards
+    /// their callers now, and there as soon as it can be reached.
+    fn look_at_leases(&mut self, now: Micros, office: OfficeId, meant: Micros) {
+        let Some(link) = self.links.get_mut(&office).filter(|l| l.lease_due == Some(meant)) else { return };
+        link.lease_due = None;
+        if now - meant > STOOD_STILL && now - meant < LEASE_GRACE {
+            // This program stood still, and what came meanwhile may not have been read.
+            let due = meant + LEASE_GRACE;
+            link.lease_due = Some(due);
+            return self.out.push(LinkOutput::Wake(due, LinkDue::Lease(office, due)));
+        }
+        let leases = link.leases.clone();
+        let over = |l: &Leg| matches!(l.stage, Stage::Standing(g) if leases.expired(now, g));
+        let of = |l: &Leg| l.office == office && over(l);
+        let mut owed: Vec<Sid> = self.legs.iter().filter(|(_, l)| of(l)).map(|(&sid, _)| sid).collect();
+        owed.sort_unstable();
+        self.counts.lease_expired += owed.len() as u64;
+        if let Some(link) = self.links.get_mut(&office).filter(|_| !owed.is_empty()) {
+            let member = link.place.member.clone();
+            self.out.push(LinkOutput::LeaseOver(member, owed.len()));
+        }
+        owed.into_iter().for_each(|sid| self.release_at(now, office, sid));
+        self.cut_standing(office, over);
+        if let Some(link) = self.links.get_mut(&office) {
+            link.leases.forget_expired(now);
+        }
+        self.watch_leases(office);
+    }
 }
 
 /// What a release from an exchange means, before and after the answer.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -10,6 +10,7 @@
 pub mod server_events;
 pub mod simulator;
 pub mod text_settings;
+pub mod upstream_lease;
 
 /// Names one connection of this program, for as long as the program runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -74,6 +74,8 @@
     Spoil,
     Half(bool),
     List(ListState),
+    /// The machine vanishes; what answers at its address later is another process.
+    Vanish,
     Pass(Micros),
 }
 
@@ -98,9 +100,17 @@
     heard: Micros,
     legs: Vec<Leg>,
     state: ListState,
+    /// The connection that was up when the machine vanished: it stays open, and nothing comes on it.
+    mute: Option<ConnId>,
+    /// When the process that had these calls vanished.
+    vanished: BTreeMap<usize, Micros>,
 }
 
 impl LinkModel {
+    fn process_has(&self, leg: usize) -> bool {
+        !self.vanished.contains_key(&leg)
+    }
+
     fn list(&mut self, state: ListState) {
         self.state = state;
         let place = Place { member: "s-1".to_owned(), address: "127.0.0.1:9".parse().unwrap() };
@@ -143,15 +153,25 @@
                     *leg = Leg::Over;
                 }
                 LinkOutput::Earlier(sid, _) => panic!("{sid} is of this life"),
-                LinkOutput::Group(..) | LinkOutput::ProbeFailed(_) | LinkOutput::GaveUp(..) => {}
+                LinkOutput::Group(..)
+                | LinkOutput::ProbeFailed(_)
+                | LinkOutput::GaveUp(..)
+                | LinkOutput::LeaseOver(..) => {}
             }
         }
     }
 
     fn step(&mut self, step: LinkStep) {
         let pick = |i: usize, n: usize| (n > 0).then(|| i % n.max(1));
-        let up = self.conn.filter(|c| c.1).map(|c| c.0);
+        let up = self.conn.filter(|c| c.1).map(|c| c.0).filter(|&c| Some(c) != self.mute);
         match step {
+            LinkStep::Vanish => {
+                let here = (0..self.legs.len()).filter(|&i| self.process_has(i)).collect::<Vec<_>>();
+                let known = |l: Leg| matches!(l, Leg::Out | Leg::Standing);
+                self.vanished
+                    .extend(here.into_iter().filter(|&i| known(self.legs[i])).map(|i| (i, self.now)));
+                self.mute = self.conn.map(|c| c.0);
+            }
             LinkStep::SetUp if self.state == ListState::Ready => {
                 let n = self.legs.len();
                 self.legs.push(Leg::Waiting);
@@ -179,7 +199,8 @@
                 }
             }
             LinkStep::Ready(i) => {
-                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
+                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len()).filter(|&i| self.process_has(i)))
+                {
                     let before = self.legs[i];
                     self.heard = self.now;
                     self.links.message(self.now, conn, Message::new(Kind::Ready, Some(Sid(i as u64))));
@@ -190,7 +211,8 @@
                 }
             }
             LinkStep::Close(i, code) => {
-                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len())) {
+                if let (Some(conn), Some(i)) = (up, pick(i, self.legs.len()).filter(|&i| self.process_has(i)))
+                {
                     self.heard = self.now;
                     self.links.message(self.now, conn, Message::close(Sid(i as u64), code));
                 }
@@ -231,6 +253,10 @@
         let calls = self.legs.iter().any(|l| matches!(l, Leg::Out | Leg::Standing));
         let up = self.conn.is_some_and(|c| c.1);
         assert!(!(up && calls && end - self.heard > 2_800 * MS), "one that stays open and dead is given up");
+        for (&leg, &since) in &self.vanished {
+            let stands = self.legs[leg] == Leg::Standing;
+            assert!(!stands || end - since <= 7_200 * MS, "a call that is over is told of in time");
+        }
     }
 }
 
@@ -238,15 +264,33 @@
     fn new() -> LinkModel {
         let links = Links::new(0, 500 * MS, Some(ExchangeNo(0)));
         let (due, conn, half, legs) = Default::default();
-        let mut m =
-            LinkModel { links, now: 1_000 * MS, due, conn, half, heard: 0, legs, state: ListState::Ready };
+        let mut m = LinkModel {
+            links,
+            now: 1_000 * MS,
+            due,
+            conn,
+            half,
+            heard: 0,
+            legs,
+            state: ListState::Ready,
+            mute: None,
+            vanished: BTreeMap::new(),
+        };
         m.list(ListState::Ready);
         m.settle();
         m
     }
 
+    /// The next connection comes up.
+    fn reconnect(&mut self) {
+        while self.conn.is_none() || self.conn.map(|c| c.0) == self.mute {
+            self.pass(10 * MS);
+        }
+        self.step(LinkStep::Up);
+    }
+
     fn hear(&mut self) {
-        if let Some((conn, true)) = self.conn {
+        if let Some((conn, true)) = self.conn.filter(|c| Some(c.0) != self.mute) {
             self.heard = self.now;
             self.links.message(self.now, conn, Message::new(Kind::Status, None));
         }
@@ -276,6 +320,45 @@
     assert_eq!((m.legs[1], m.links.counts().stalled), (Leg::Over, 1));
 }
 
+#[test]
+fn calls_are_cut_when_their_process_is_not_heard_of_whatever_else_speaks_at_its_address() {
+    let mut m = LinkModel::new();
+    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
+        .into_iter()
+        .for_each(|s| m.step(s));
+    m.step(LinkStep::Vanish);
+    m.pass(2_500 * MS);
+    m.reconnect();
+    // Another process speaks, and takes calls of its own.
+    m.step(LinkStep::SetUp);
+    for _ in 0..60 {
+        m.hear();
+        m.step(LinkStep::Ready(2));
+        m.pass(100 * MS);
+    }
+    assert_eq!(m.legs, [Leg::Over, Leg::Over, Leg::Standing]);
+    assert_eq!(m.links.counts().lease_expired, 2);
+}
+
+#[test]
+fn calls_stand_on_after_a_break_when_their_process_says_something_of_one_of_them() {
+    let mut m = LinkModel::new();
+    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
+        .into_iter()
+        .for_each(|s| m.step(s));
+    // The network is cut for six seconds, and the exchange is still there.
+    m.mute = m.conn.map(|c| c.0);
+    m.pass(6_000 * MS);
+    m.reconnect();
+    m.hear();
+    m.step(LinkStep::Close(0, 16));
+    for _ in 0..80 {
+        m.hear();
+        m.pass(100 * MS);
+    }
+    assert_eq!(m.legs, [Leg::Over, Leg::Standing]);
+}
+
 #[test]
 fn a_link_keeps_one_connection_and_ends_each_set_up_once() {
     use LinkStep::*;
@@ -297,6 +380,7 @@
         1 => Just(Spoil),
         1 => any::<bool>().prop_map(Half),
         1 => state.prop_map(List),
+        1 => Just(Vanish),
         2 => (0..700 * MS).prop_map(Pass),
     ];
     check(prop::collection::vec(step, 1..80), |steps| {
