Make a stop a sequence of phases, so that requests up to SIGKILL are answered

The class of cause is work done at a moment for what goes on coming after it.

Now src/routing/shutdown.rs gives the phase at any time. For 0.7 s calls are taken as ever; then the ledger refuses each new call at once, whatever front it comes in by; 0.4 s after the longest deadline what is open is failed.

The same mistake was looked for where connections end. A connection was closed while set-ups read from it were still in the queue, and these were dropped with no answer; a release that came on a connection which was ending was dropped too, so that its call stood on; a close with bytes unread reset the connection and took back answers; what came during the last half second of the program was read and not answered. Now a connection that ends is first read no further, then all that was read is answered, then it is closed, and its descriptor stays for 200 ms more. In a stop connections with nothing left on them end in this way, and the program listens until the last of them has.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -61,6 +61,7 @@
         ("callers.unusable", c.unusable),
         ("callers.repeated", c.repeated),
         ("callers.crowded", c.crowded),
+        ("callers.crossed", c.crossed),
         ("callers.released_again", c.released_again),
         ("callers.stray", c.stray),
         ("callers.unexpected", c.unexpected),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -18,6 +18,7 @@
 use crate::routing::deadlines::Deadlines;
 use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
 use crate::routing::ledger::{AnswerReason, FrontId, Ledger, LedgerDue, Output};
+use crate::routing::shutdown::{Phase, Shutdown};
 use crate::transport::outbox::Outbox;
 use crate::transport::saver::Saving;
 use crate::transport::{ConnNews, Inbound, Side};
@@ -38,15 +39,6 @@
 pub const GATEWAYS: FrontId = FrontId(1);
 /// A test passes this long after the start even if an exchange has not been heard of (µs).
 const SETTLE: Micros = 1_500_000;
-/// After a request to stop, calls are taken at least this long (µs).
-const STOP_WINDOW: Micros = 1_000_000;
-/// After a request to stop, calls that stand are waited for this long (µs).
-const STOP_STANDING: Micros = 8_000_000;
-/// After a request to stop, calls that are still open are failed once the longest deadline has passed, counted as
-/// this at the most, and a little more (µs). Guards their answers: a platform that asks for a stop ends the program
-/// 0.7 s after that deadline.
-const STOP_OPEN: (Micros, Micros) = (3_000_000, 500_000);
-
 /// Spans kept between two exports; more are dropped.
 const SPANS: usize = 512;
 
@@ -67,10 +59,8 @@
     Appliance,
     /// Gossip's.
     Gossip,
-    /// Look whether the program may end.
+    /// The next phase of a stop begins.
     Stop,
-    /// The program stops, and answers what it still owes.
-    LastAnswers,
 }
 
 /// What only the transport can do.
@@ -94,6 +84,26 @@
     Refetch,
     /// Follow the coordinator at this address from now on.
     Follow(Option<SocketAddr>),
+    /// Listen for callers no more, and say so.
+    StopListening,
+}
+
+/// A stop under way.
+#[derive(Debug)]
+struct Stop {
+    shutdown: Shutdown,
+    /// What is left of the callers' side.
+    door: DoorState,
+}
+
+/// How far the callers' side is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DoorState {
+    Open,
+    /// Asked to listen no more.
+    Closing,
+    /// No connection comes up any more.
+    Closed,
 }
 
 /// The state of the task that owns routing.
@@ -113,7 +123,7 @@
     /// As read at the start, and anew since.
     config: Config,
     born: Micros,
-    stopping: Option<Micros>,
+    stopping: Option<Stop>,
     /// The operator wants no new calls.
     draining: bool,
     /// How far the wall's clock is ahead of the program's.
@@ -220,6 +230,11 @@
                 self.with_appliance(now, |a, clocks, scene| a.take(clocks, news, scene));
             }
             Inbound::Stop => self.stop(now),
+            Inbound::NotListening => {
+                if let Some(stop) = &mut self.stopping {
+                    stop.door = DoorState::Closed;
+                }
+            }
             // Whoever runs the switchboard reads the files: see `Switchboard::reload`.
             Inbound::Reload => {}
         }
@@ -268,11 +283,7 @@
                 Due::Export => self.export(now),
                 Due::Gossip => self.gossip_due(now),
                 Due::Appliance => self.with_appliance(now, Appliance::look),
-                Due::Stop => {}
-                Due::LastAnswers => {
-                    tracing::info!("stop: {} calls still open are failed", self.ledger.open_calls());
-                    self.ledger.fail_open(now);
-                }
+                Due::Stop => self.advance_stop(now),
             }
             self.settle(now);
         }
@@ -290,9 +301,16 @@
 
     /// Whether the program was asked to stop and has answered all that it took.
     pub fn finished(&self, now: Micros) -> bool {
-        let Some(since) = self.stopping else { return false };
-        let stood = self.ledger.standing_calls() == 0 || now - since >= STOP_STANDING;
-        now - since >= STOP_WINDOW && self.ledger.open_calls() == 0 && stood
+        let Some(stop) = &self.stopping else { return false };
+        let phase = stop.shutdown.phase(now);
+        let closed = stop.door == DoorState::Closed && self.callers.connections() == 0;
+        phase == Phase::Over || closed && self.served(phase)
+    }
+
+    /// Whether a stop in this phase has nothing to wait for but connections.
+    fn served(&self, phase: Phase) -> bool {
+        let stood = self.ledger.standing_calls() == 0 && !self.callers.owes_releases();
+        phase >= Phase::Draining && self.ledger.open_calls() == 0 && (stood || phase >= Phase::Closing)
     }
 
     /// Ends every connection once what waits on it has been sent.
@@ -329,16 +347,44 @@
     /// Asks for a stop: calls are taken for a while yet, and all that was taken is answered.
     pub fn stop(&mut self, now: Micros) {
         if self.stopping.is_none() {
-            self.stopping = Some(now);
+            let longest = self.config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
+            let shutdown = Shutdown::new(now, longest);
+            self.stopping = Some(Stop { shutdown, door: DoorState::Open });
             tracing::info!("stop asked for: {} calls open", self.ledger.open_calls());
             if let Some(g) = &mut self.gossip {
                 g.leave(now);
             }
-            for at in [STOP_WINDOW, STOP_STANDING] {
-                self.deadlines.add(now + at, Due::Stop);
+            for (at, _) in shutdown.begins() {
+                self.deadlines.add(at, Due::Stop);
             }
-            let longest = self.config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
-            self.deadlines.add(now + longest.min(STOP_OPEN.0) + STOP_OPEN.1, Due::LastAnswers);
+        }
+    }
+
+    /// Does what the present phase of a stop asks for.
+    fn advance_stop(&mut self, now: Micros) {
+        let Some(stop) = &self.stopping else { return };
+        let phase = stop.shutdown.phase(now);
+        let (open, standing) = (self.ledger.open_calls(), self.ledger.standing_calls());
+        tracing::info!("stop: {phase:?}; {open} calls open, {standing} stand");
+        if phase >= Phase::Draining {
+            self.ledger.close(self.config.settings.max_pause);
+            self.callers.drain(now);
+        }
+        if phase >= Phase::Answered {
+            self.ledger.fail_open(now);
+        }
+        if phase >= Phase::Closing {
+            self.callers.end_all(now);
+        }
+    }
+
+    /// Once nothing is left to serve, no caller's connection need come up any more.
+    fn close_door(&mut self, now: Micros) {
+        let Some(phase) = self.stopping.as_ref().map(|s| s.shutdown.phase(now)) else { return };
+        let done = phase >= Phase::Closing || self.callers.connections() == 0 && self.served(phase);
+        if let Some(stop) = self.stopping.as_mut().filter(|s| done && s.door == DoorState::Open) {
+            stop.door = DoorState::Closing;
+            self.tasks.push(Task::StopListening);
         }
     }
 
@@ -364,6 +410,11 @@
                     Side::Exchanges => self.links.spoilt(now, conn),
                 }
             }
+            (side, ConnNews::ReadingStopped) => {
+                if side == Side::Callers {
+                    self.callers.reading_stopped(conn);
+                }
+            }
             (Side::Exchanges, ConnNews::Half(half)) => self.links.half(now, conn, half),
             (Side::Callers, ConnNews::Half(half)) => self.callers.half(now, conn, half),
             (side, ConnNews::Closed(how)) => {
@@ -464,7 +515,7 @@
                 && orders.is_empty()
                 && !gossiped
             {
-                return;
+                return self.close_door(now);
             }
             for output in orders {
                 self.appliance_output(now, output);
@@ -576,6 +627,7 @@
             CallerOutput::Ending(conn, why) => {
                 tracing::debug!(target: CONNECTIONS, conn = conn.0, "caller's connection ends: {why:?}");
             }
+            CallerOutput::StopReading(conn) => drop(outbox(conn).map(Outbox::stop_reading)),
             CallerOutput::End(conn) => drop(outbox(conn).map(Outbox::close)),
             CallerOutput::Cut(conn) => drop(outbox(conn).map(Outbox::cut)),
             CallerOutput::Wake(at, due) => self.deadlines.add(at, Due::Caller(due)),
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -64,6 +64,10 @@
     TurnedAway,
     /// Too many connections are open.
     TooMany,
+    /// The program stops, and nothing is left on it.
+    Drained,
+    /// The program ends.
+    Shutdown,
 }
 
 /// What is to be done.
@@ -75,6 +79,9 @@
     Fail(CallId),
     /// This connection takes nothing more in, for this reason.
     Ending(ConnId, EndReason),
+    /// Read no further on this connection than to the end of the present message, and say so
+    /// ([`Callers::reading_stopped`]).
+    StopReading(ConnId),
     /// Close this connection once what waits on it has gone out.
     End(ConnId),
     /// Close it at once.
@@ -103,6 +110,8 @@
     pub unusable: u64,
     /// Set-ups that named a call which is open or stands; each ended its connection.
     pub repeated: u64,
+    /// Set-ups refused since they crossed the end of their connection.
+    pub crossed: u64,
     /// Set-ups refused since too many were open on a connection that no call has stood on.
     pub crowded: u64,
     /// Releases of calls that are not known here, or not the sender's.
@@ -145,8 +154,12 @@
     turned_away: u32,
     /// Since when a message has been half there.
     half: Option<Micros>,
-    /// It takes nothing more in, and is closed once no set-up is open on it.
+    /// A set-up came on it.
+    used_for_calls: bool,
+    /// It takes nothing more in, and is closed once no set-up is open on it and all that was read is answered.
     ending: bool,
+    /// Nothing more is read from it.
+    reading_stopped: bool,
 }
 
 /// The release of a call that stood, until its caller has heard it.
@@ -170,6 +183,8 @@
     calls: HashMap<CallId, Held>,
     releases: BTreeMap<Sid, Release>,
     earlier: EarlierLife,
+    /// Connections with nothing left on them are ended.
+    draining: bool,
     out: Vec<CallerOutput>,
     counts: CallerCounts,
 }
@@ -186,6 +201,7 @@
             calls: HashMap::new(),
             releases: BTreeMap::new(),
             earlier: EarlierLife::new(now),
+            draining: false,
             out: Vec::new(),
             counts: CallerCounts::default(),
         }
@@ -213,8 +229,18 @@
     pub fn opened(&mut self, now: Micros, conn: ConnId) {
         let over = self.conns.len() >= self.most;
         let spare = over.then(|| self.least_needed(now)).flatten();
-        let (open, standing, proven, turned_away, half) = (0, 0, false, 0, None);
-        let fresh = Conn { open, standing, born: now, used: now, proven, turned_away, half, ending: false };
+        let fresh = Conn {
+            open: 0,
+            standing: 0,
+            born: now,
+            used: now,
+            proven: false,
+            turned_away: 0,
+            half: None,
+            used_for_calls: false,
+            ending: false,
+            reading_stopped: false,
+        };
         self.conns.insert(conn, fresh);
         self.out.push(CallerOutput::Wake(now + IDLE_NEW, CallerDue::Idle(conn)));
         if over {
@@ -239,12 +265,54 @@
         again.into_iter().for_each(|sid| self.send_release(now, sid, None));
         let lost = self.open_on(conn);
         lost.iter().for_each(|&c| drop(self.remove(c)));
+        self.end_drained(now);
         lost
     }
 
+    /// Connections that there are, those that end included.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Whether a release of a call that stood has not been heard, nor given up.
+    pub fn owes_releases(&self) -> bool {
+        !self.releases.is_empty()
+    }
+
+    /// From now on a connection is ended once nothing is left on it: no open set-up, no call that stands, and no
+    /// release that has not been heard.
+    pub fn drain(&mut self, now: Micros) {
+        self.draining = true;
+        self.end_drained(now);
+    }
+
+    /// Ends every connection.
+    pub fn end_all(&mut self, now: Micros) {
+        let all: Vec<ConnId> = self.conns.keys().copied().collect();
+        all.into_iter().for_each(|conn| self.end(now, conn, EndReason::Shutdown));
+    }
+
+    fn end_drained(&mut self, now: Micros) {
+        if !self.draining {
+            return;
+        }
+        let owing: Vec<ConnId> = self.releases.values().filter_map(|r| r.sent.last().copied()).collect();
+        // One that is new may have its first set-up on the way.
+        let settled = |c: &Conn| c.used_for_calls || now - c.born >= IDLE_NEW;
+        let empty = |c: &Conn| c.open == 0 && c.standing == 0 && c.half.is_none();
+        let drained = |id: &ConnId, c: &Conn| !c.ending && settled(c) && empty(c) && !owing.contains(id);
+        let over: Vec<ConnId> =
+            self.conns.iter().filter(|(id, c)| drained(id, c)).map(|(&id, _)| id).collect();
+        over.into_iter().for_each(|conn| self.end(now, conn, EndReason::Drained));
+    }
+
     /// What came on a connection can't be read, so that nothing after it can be either.
     pub fn spoilt(&mut self, now: Micros, conn: ConnId) {
         self.counts.spoilt += 1;
+        if let Some(c) = self.conns.get_mut(&conn) {
+            // Nothing that follows on it can be trusted.
+            c.reading_stopped = true;
+        }
         self.end(now, conn, EndReason::Unreadable);
     }
 
@@ -257,17 +325,27 @@
         }
     }
 
-    /// Ends a connection: fails what is open on it and closes it then.
+    /// Nothing more is read from a connection that ends: all that was read from it has been taken in.
+    pub fn reading_stopped(&mut self, conn: ConnId) {
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.reading_stopped = true;
+            self.end_if_answered(conn);
+        }
+    }
+
+    /// Ends a connection: fails what is open on it, has reading stopped, and closes it once all that was read by then
+    /// is answered. Guards a set-up that crosses the end: either it has not been read, or it is answered.
     fn end(&mut self, now: Micros, conn: ConnId, reason: EndReason) {
         let Some(c) = self.conns.get_mut(&conn).filter(|c| !c.ending) else { return };
         c.ending = true;
         self.out.push(CallerOutput::Ending(conn, reason));
         self.out.push(CallerOutput::Wake(now + ENDING, CallerDue::Ending(conn)));
-        let open = self.open_on(conn);
-        if open.is_empty() {
-            self.out.push(CallerOutput::End(conn));
+        if !c.reading_stopped {
+            self.out.push(CallerOutput::StopReading(conn));
         }
+        let open = self.open_on(conn);
         self.out.extend(open.into_iter().map(CallerOutput::Fail));
+        self.end_if_answered(conn);
     }
 
     /// The set-ups that wait for their answer on a connection.
@@ -280,6 +358,11 @@
 
     /// A deadline has come.
     pub fn due(&mut self, now: Micros, due: CallerDue) {
+        self.deadline(now, due);
+        self.end_drained(now);
+    }
+
+    fn deadline(&mut self, now: Micros, due: CallerDue) {
         match due {
             CallerDue::Idle(conn) => {
                 let Some(c) = self.conns.get(&conn).filter(|c| !c.ending) else { return };
@@ -317,9 +400,19 @@
 
     /// A message from a caller.
     pub fn message(&mut self, now: Micros, conn: ConnId, message: Message) -> Ask {
-        let Some(c) = self.conns.get_mut(&conn).filter(|c| !c.ending) else { return Ask::Nothing };
+        let Some(c) = self.conns.get_mut(&conn) else { return Ask::Nothing };
         c.used = now;
-        match (message.kind, message.sid) {
+        c.used_for_calls |= message.kind == Kind::Open;
+        let (ending, stopped) = (c.ending, c.reading_stopped);
+        let ask = match (message.kind, message.sid) {
+            (Kind::Open, Some(sid)) if ending => {
+                // It crossed the end of its connection, and has been read.
+                if !stopped && !self.by_sid.contains_key(&sid) {
+                    self.counts.crossed += 1;
+                    self.tell(conn, Message::close(sid, cause::CONGESTION));
+                }
+                Ask::Nothing
+            }
             (Kind::Open, Some(sid)) => {
                 self.earlier.meet(now, sid);
                 self.open(now, conn, sid, message)
@@ -344,7 +437,9 @@
                 self.counts.unexpected += 1;
                 Ask::Nothing
             }
-        }
+        };
+        self.end_drained(now);
+        ask
     }
 
     /// A call that stands may be released on any connection; a set-up is given up on its own. Guards callers
@@ -451,6 +546,7 @@
                 self.give_back(now, call, conn, Message::close(sid, cause::TEMPORARY_FAILURE));
             }
         }
+        self.end_drained(now);
     }
 
     fn give_back(&mut self, now: Micros, call: CallId, conn: ConnId, message: Message) {
@@ -478,7 +574,7 @@
     }
 
     fn end_if_answered(&mut self, conn: ConnId) {
-        if self.conns.get(&conn).is_some_and(|c| c.ending && c.open == 0) {
+        if self.conns.get(&conn).is_some_and(|c| c.ending && c.reading_stopped && c.open == 0) {
             self.out.push(CallerOutput::End(conn));
         }
     }
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -278,6 +278,8 @@
     tally: Tally,
     /// Calls not yet answered.
     open: usize,
+    /// New calls are refused, with this pause.
+    closed: Option<Micros>,
 }
 
 impl Ledger {
@@ -295,6 +297,7 @@
             out: Vec::new(),
             tally: Tally::default(),
             open: 0,
+            closed: None,
         }
     }
 
@@ -320,6 +323,10 @@
         self.calls.insert(call, entry);
         self.tally.offered += 1;
         self.open += 1;
+        if let Some(pause) = self.closed {
+            self.finish(call, Answer::Refused { pause }, AnswerReason::Shutdown);
+            return call;
+        }
         self.out.push(Output::Wake(deadline - ANSWER_EARLY, LedgerDue::Call(call)));
         self.drive(now, Event::Call(ask));
         call
@@ -512,6 +519,11 @@
         }
     }
 
+    /// From now on new calls are refused at once, whatever front they come in by.
+    pub fn close(&mut self, pause: Micros) {
+        self.closed = Some(pause);
+    }
+
     /// Fails all calls that are still open.
     pub fn fail_open(&mut self, now: Micros) {
         let stands = |e: &Entry| matches!(e.stage, Stage::Standing { .. });
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,4 +5,5 @@
 pub mod deadlines;
 pub mod interface;
 pub mod ledger;
+pub mod shutdown;
 pub mod withdrawals;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -40,6 +40,8 @@
     Message(Message),
     /// A line came that is no message, and nothing more is read: what follows it can't be trusted.
     Bad(LineError),
+    /// Nothing more is read, as was asked for; all that was read has been told.
+    ReadingStopped,
     /// A message has begun and not ended (`true`), or what had begun is whole.
     Half(bool),
     /// It is no more.
@@ -101,4 +103,6 @@
     Reload,
     /// The program is asked to stop.
     Stop,
+    /// No caller's connection comes up any more; all that did have been told.
+    NotListening,
 }
--- a/src/transport/outbox.rs
+++ b/src/transport/outbox.rs
@@ -17,6 +17,8 @@
     closed: bool,
     /// The connection is to end at once.
     cut: bool,
+    /// Nothing more is to be read from the connection.
+    stop_reading: bool,
 }
 
 /// A handle to the queue: the task that owns routing puts lines in, the connection's own task takes them out.
@@ -65,6 +67,12 @@
         self.news.notify(usize::MAX);
     }
 
+    /// Has the connection's task read no further.
+    pub fn stop_reading(&self) {
+        self.queue.borrow_mut().stop_reading = true;
+        self.news.notify(usize::MAX);
+    }
+
     /// Bytes that wait.
     pub fn waiting(&self) -> usize {
         self.queue.borrow().bytes
@@ -98,9 +106,18 @@
 
     /// Waits until the connection is to end at once.
     pub async fn until_cut(&self) {
+        self.until(|q| q.cut).await;
+    }
+
+    /// Waits until nothing more is to be read from the connection.
+    pub async fn until_stop_reading(&self) {
+        self.until(|q| q.stop_reading).await;
+    }
+
+    async fn until(&self, holds: impl Fn(&Queue) -> bool) {
         loop {
             let listener = self.news.listen();
-            if self.queue.borrow().cut {
+            if holds(&self.queue.borrow()) {
                 return;
             }
             listener.await;
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -5,10 +5,10 @@
 use crate::protocol::exchanges::Closing;
 use crate::protocol::json_lines::{LineSplitter, Message};
 use crate::protocol::ConnId;
-use async_channel::Sender;
+use async_channel::{Receiver, SendError, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_lock::Semaphore;
+use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::Cell;
@@ -22,6 +22,9 @@
 const CHUNK: usize = 16 * 1024;
 /// Bytes taken in at most from a caller whose connection ends.
 const SEEN_OFF: usize = 16 * CHUNK;
+/// A connection that this side ends stays this long after its last byte, so that the far end can take that in:
+/// closed with bytes unread it would be reset, and its answers with it.
+const LINGER: Duration = Duration::from_millis(200);
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 /// Pause after an accept that failed, as when descriptors run short.
@@ -41,32 +44,67 @@
 
 /// Takes in callers' connections for as long as the program runs, `most` at a time: beyond that they wait with the
 /// system until others have ended. Guards the descriptors, whose number is a hard limit, while the task that owns
-/// routing chooses which of the connections go.
+/// routing chooses which of the connections go. Once `stop` is told of, it listens no more.
 pub async fn listen(
     listener: Async<TcpListener>,
     most: usize,
     executor: Rc<LocalExecutor<'static>>,
     inbox: Sender<Inbound>,
-) -> Result<(), async_channel::SendError<Inbound>> {
-    let (mut next, places) = (0, Arc::new(Semaphore::new(most)));
+    stop: Receiver<()>,
+) -> Result<(), SendError<Inbound>> {
+    let mut door = Door { next: 0, executor, inbox };
+    let places = Arc::new(Semaphore::new(most));
+    let stopped = async {
+        // Nobody can ask any more once the other end is gone.
+        let _ = stop.recv().await;
+        None
+    };
+    futures_lite::pin!(stopped);
     loop {
-        let place = places.acquire_arc().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (conn, outbox) = (ConnId(next), Outbox::default());
-                next += 1;
-                prepare(&stream);
-                inbox.send(Inbound::Conn(Side::Callers, conn, ConnNews::Accepted(outbox.clone()))).await?;
-                let served = serve(stream, Side::Callers, conn, outbox, inbox.clone());
-                let until_its_end = async move {
-                    served.await;
-                    drop(place);
-                };
-                executor.spawn(until_its_end).detach();
-            }
-            Err(_) => drop(Timer::after(ACCEPT_PAUSE).await),
+        let accepted = async {
+            let place = places.acquire_arc().await;
+            Some((listener.accept().await, place))
+        };
+        match future::or(&mut stopped, accepted).await {
+            Some((Ok((stream, _)), place)) => door.let_in(stream, Some(place)).await?,
+            Some((Err(_), _)) => drop(Timer::after(ACCEPT_PAUSE).await),
+            None => break,
         }
     }
+    // What came up before the listener's end is served still: its callers were told that it came up.
+    while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
+        door.let_in(stream, places.try_acquire_arc()).await?;
+    }
+    drop(listener);
+    door.inbox.send(Inbound::NotListening).await
+}
+
+/// Numbers callers' connections and starts their tasks.
+struct Door {
+    next: u64,
+    executor: Rc<LocalExecutor<'static>>,
+    inbox: Sender<Inbound>,
+}
+
+impl Door {
+    async fn let_in(
+        &mut self,
+        stream: Async<TcpStream>,
+        place: Option<SemaphoreGuardArc>,
+    ) -> Result<(), SendError<Inbound>> {
+        let (conn, outbox) = (ConnId(self.next), Outbox::default());
+        self.next += 1;
+        prepare(&stream);
+        let accepted = ConnNews::Accepted(outbox.clone());
+        self.inbox.send(Inbound::Conn(Side::Callers, conn, accepted)).await?;
+        let served = serve(stream, Side::Callers, conn, outbox, self.inbox.clone());
+        let until_its_end = async move {
+            served.await;
+            drop(place);
+        };
+        self.executor.spawn(until_its_end).detach();
+        Ok(())
+    }
 }
 
 /// Opens a connection and serves it; it ends at once when its outbox is cut, also while it is coming up.
@@ -106,29 +144,35 @@
 async fn serve(stream: Async<TcpStream>, side: Side, conn: ConnId, outbox: Outbox, inbox: Sender<Inbound>) {
     let spent = Cell::new(false);
     let closing = future::or(write(&stream, &outbox), async {
-        future::or(read(&stream, side, conn, &inbox, &spent), async {
+        future::or(read(&stream, side, conn, &inbox, &outbox, &spent), async {
             outbox.until_cut().await;
             Closing::Ours
         })
         .await
     })
     .await;
-    if spent.get() && side == Side::Callers {
-        future::or(outbox.until_cut(), see_off(&stream)).await;
+    if side == Side::Callers && closing == Closing::Ours {
+        future::or(outbox.until_cut(), see_off(&stream, spent.get())).await;
     }
     drop(stream);
     drop(inbox.send(Inbound::Conn(side, conn, ConnNews::Closed(closing))).await);
 }
 
 /// Ends a connection whose caller may still be sending. Guards the answers on their way to it: a close with bytes
-/// unread is a reset, which takes back what the far end has not read yet. It ends with the outbox's cut at the latest.
-async fn see_off(mut stream: &Async<TcpStream>) {
+/// unread is a reset, which takes back what the far end has not read yet. What can't be read any more is passed over;
+/// else nothing more is read, since what has been read must be answered. It ends with the outbox's cut at the latest.
+async fn see_off(mut stream: &Async<TcpStream>, spent: bool) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    if !spent {
+        Timer::after(LINGER).await;
+        return;
+    }
     let mut buffer = vec![0; CHUNK];
-    if stream.get_ref().shutdown(Shutdown::Write).is_ok() {
-        for _ in 0..SEEN_OFF / CHUNK {
-            if !matches!(stream.read(&mut buffer).await, Ok(n) if n > 0) {
-                return;
-            }
+    for _ in 0..SEEN_OFF / CHUNK {
+        if !matches!(stream.read(&mut buffer).await, Ok(n) if n > 0) {
+            return;
         }
     }
 }
@@ -147,15 +191,28 @@
     side: Side,
     conn: ConnId,
     inbox: &Sender<Inbound>,
+    outbox: &Outbox,
     spent: &Cell<bool>,
 ) -> Closing {
     let mut buffer = vec![0; CHUNK];
     let (mut lines, mut half) = (LineSplitter::default(), false);
     loop {
-        let n = match stream.read(&mut buffer).await {
-            Ok(0) => return Closing::Ended,
-            Ok(n) => n,
-            Err(_) => return Closing::Broken,
+        let stopped = async {
+            // What has begun is read to its end.
+            if half {
+                future::pending::<()>().await;
+            }
+            outbox.until_stop_reading().await;
+            None
+        };
+        let n = match future::or(stopped, async { Some(stream.read(&mut buffer).await) }).await {
+            Some(Ok(0)) => return Closing::Ended,
+            Some(Ok(n)) => n,
+            Some(Err(_)) => return Closing::Broken,
+            None if inbox.send(Inbound::Conn(side, conn, ConnNews::ReadingStopped)).await.is_err() => {
+                return Closing::Ours;
+            }
+            None => return future::pending().await,
         };
         let (mut news, mut bad) = (Vec::new(), None);
         lines.push(&buffer[..n], |line| match line.and_then(Message::parse) {
