Bound the waits for a slow coordinator, a stuck exchange and a gateway that is gone

- The coordinator: a request for the stream was given 1.5 s for each step, so that one that takes 2 s to answer was never followed and a head sent in drips was waited for without end.
Now a request has 3.9 s in all, and another is made beside it every 1.5 s, three at most.
An event that could not be read was passed over for good; now the whole list is asked for.
- Set-ups that waited behind others on a slow connection when their exchange began to drain could leave after the grace; they are taken back.
- Calls that stand at a gateway (MGCP) had no end of their own either: the gateway is audited after 2 s of silence, and its calls are cut before 6.8 s.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -105,6 +105,7 @@
         ("mgcp.unknown_endpoint", a.unknown_endpoint),
         ("mgcp.late_answers", a.late_answers),
         ("mgcp.unanswered", a.unanswered),
+        ("mgcp.lease_expired", a.lease_expired),
         ("mgcp.not_offered", a.not_offered),
     ];
     rows.map(|(name, value)| (name.to_owned(), value)).to_vec()
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -39,6 +39,8 @@
 pub const GATEWAYS: FrontId = FrontId(1);
 /// A test passes this long after the start even if an exchange has not been heard of (µs).
 const SETTLE: Micros = 1_500_000;
+/// After an event of the coordinator that can't be used, the whole list is asked for this long after (µs).
+const LIST_AGAIN: Micros = 1_000_000;
 /// Spans kept between two exports; more are dropped.
 const SPANS: usize = 512;
 
@@ -61,6 +63,8 @@
     Gossip,
     /// The next phase of a stop begins.
     Stop,
+    /// The whole list is to be asked for.
+    ListAgain,
 }
 
 /// What only the transport can do.
@@ -284,6 +288,7 @@
                 Due::Gossip => self.gossip_due(now),
                 Due::Appliance => self.with_appliance(now, Appliance::look),
                 Due::Stop => self.advance_stop(now),
+                Due::ListAgain => self.tasks.push(Task::Refetch),
             }
             self.settle(now);
         }
@@ -470,6 +475,10 @@
             Ok(update) => update,
             Err(e) => {
                 self.counts.bad_list_events += 1;
+                if !cached {
+                    // What it was to tell is told once more with the whole list.
+                    self.deadlines.add(now + LIST_AGAIN, Due::ListAgain);
+                }
                 return tracing::warn!("coordinator: {e}");
             }
         };
@@ -592,6 +601,12 @@
                     self.send(Side::Exchanges, conn, None, &message);
                 }
             }
+            LinkOutput::Unsend { conn, call, attempt } => {
+                let outbox = self.outboxes.get(&(Side::Exchanges, conn));
+                if outbox.is_some_and(|o| o.take_back(call)) {
+                    self.links.unsent(call, attempt);
+                }
+            }
             LinkOutput::HangUp(conn, why) => {
                 tracing::debug!(target: CONNECTIONS, conn = conn.0, "exchange's connection ended: {why:?}");
                 if let Some(outbox) = self.outboxes.get(&(Side::Exchanges, conn)) {
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -120,6 +120,15 @@
         /// What to send if the set-up has left.
         message: Message,
     },
+    /// Take a set-up back if it has not begun to leave, and say so ([`Links::unsent`]).
+    Unsend {
+        /// On which connection.
+        conn: ConnId,
+        /// The call.
+        call: CallId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
     /// End a connection.
     HangUp(ConnId, HangUpReason),
     /// Come back then.
@@ -328,8 +337,7 @@
         link.state = e.state;
         link.started = e.last_start;
         if e.state == ListState::Draining {
-            // A set-up that waits for a connection could leave after the grace.
-            self.fail_waiting(e.office);
+            self.shed(e.office);
         }
         if restarted {
             // What stood at the old process went down with it.
@@ -341,16 +349,32 @@
         }
     }
 
-    /// An office takes nothing new by order: a set-up that waits for a connection could leave after the grace.
+    /// An office takes nothing new: a set-up that waits for a connection, or behind others on one that is slow,
+    /// could leave after the grace.
     pub fn shed(&mut self, office: OfficeId) {
         self.fail_waiting(office);
+        let sent = |l: &Leg| match l.stage {
+            Stage::Sent(conn) if l.office == office => Some((l.call, l.attempt, conn)),
+            _ => None,
+        };
+        let mut sent: Vec<_> = self.legs.values().filter_map(sent).collect();
+        sent.sort_unstable();
+        let unsend = |(call, attempt, conn)| LinkOutput::Unsend { conn, call, attempt };
+        self.out.extend(sent.into_iter().map(unsend));
+    }
+
+    /// A set-up has not left, and never will.
+    pub fn unsent(&mut self, call: CallId, attempt: AttemptNo) {
+        if self.leg_of(call).is_some_and(|l| l.attempt == attempt && matches!(l.stage, Stage::Sent(_))) {
+            self.end_leg(call, (Ending::Unreachable, Cause::None), LoadReport::default());
+        }
     }
 
     fn gone(&mut self, now: Micros, office: OfficeId) {
         let Some(link) = self.links.get_mut(&office) else { return };
         if link.state != ListState::Gone {
             link.state = ListState::Gone;
-            self.fail_waiting(office);
+            self.shed(office);
             self.out.push(LinkOutput::Wake(now + GONE_GRACE, LinkDue::Gone(office)));
         }
     }
--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -6,6 +6,7 @@
 //! towards an endpoint is a CRCX that rings; it stands when the hook is told, or at once where the gateway
 //! answers by itself. DLCX clears, and an endpoint is free again only when its DLCX was answered.
 
+use super::super::upstream_lease::LEASE;
 use super::codes;
 use super::message::{self, events, Command, Endpoint, Packet, Params, Response, Verb};
 use super::transactions::{command, Commands, History, Repeat};
@@ -20,6 +21,8 @@
 const GATEWAY_MARK: u16 = 1;
 /// An endpoint that does not answer is audited this often (µs).
 const AUDIT: Micros = 5_000_000;
+/// While a call stands at an endpoint, its gateway is looked at this often (µs), and audited if it said nothing since.
+const LOOK: Micros = 2_000_000;
 /// The most digits that a caller may dial.
 const DIGITS_MOST: usize = 32;
 
@@ -74,6 +77,8 @@
     Prepare(usize, u64),
     /// Audit this port.
     Audit(usize),
+    /// Look whether the gateway of this port is still there, while a call of this use stands at it.
+    Lease(usize, u64),
 }
 
 /// What is to be done, or was learnt.
@@ -112,6 +117,8 @@
     pub late_answers: u64,
     /// Commands that got no answer.
     pub unanswered: u64,
+    /// Calls cut since their gateway said nothing any more.
+    pub lease_expired: u64,
     /// Calls that never reached the core: no such number, or no connection at the caller's side.
     pub not_offered: u64,
 }
@@ -190,6 +197,8 @@
     ports: Vec<Port>,
     states: Vec<(ListState, Option<Micros>)>,
     told: Vec<Option<usize>>,
+    /// When each gateway last said something.
+    heard: Vec<Micros>,
     turns: Vec<usize>,
     calls: BTreeMap<CallId, usize>,
     legs: BTreeMap<CallId, usize>,
@@ -227,6 +236,7 @@
             ports,
             states: vec![(ListState::Ready, None); n],
             told: vec![None; n],
+            heard: vec![0; n],
             turns: vec![0; n],
             calls: BTreeMap::new(),
             legs: BTreeMap::new(),
@@ -303,6 +313,9 @@
 
     /// A datagram from a gateway.
     pub fn datagram(&mut self, now: Micros, from: SocketAddr, body: &[u8]) {
+        for (gateway, heard) in self.config.gateways.iter().zip(&mut self.heard) {
+            *heard = if gateway.address == from { now } else { *heard };
+        }
         for packet in message::parse(body) {
             match packet {
                 Ok(Packet::Command(c)) => self.command(now, from, &c),
@@ -462,6 +475,7 @@
             Role::Called { call, attempt, stage: Stage::Ringing(text) } => {
                 self.ports[p].role = Role::Called { call, attempt, stage: Stage::Standing };
                 self.request(now, p, Params::default().with("R", "L/hu(N)"));
+                self.watch_lease(now, p);
                 self.out.push(AgentOutput::Answered(call, attempt, text));
             }
             _ => {}
@@ -587,6 +601,7 @@
                 self.ports[p].connection = connection;
                 if automatic {
                     self.ports[p].role = Role::Called { call, attempt, stage: Stage::Standing };
+                    self.watch_lease(now, p);
                     self.out.push(AgentOutput::Answered(call, attempt, text));
                 } else {
                     self.ports[p].role = Role::Called { call, attempt, stage: Stage::Ringing(text) };
@@ -619,6 +634,8 @@
                 }
             }
             AgentDue::Audit(p) => self.audit(now, p),
+            AgentDue::Lease(p, id) if self.ports[p].use_id == id => self.look_at_lease(now, p),
+            AgentDue::Lease(..) => {}
         }
         self.tell_groups();
     }
@@ -663,6 +680,7 @@
         match (answer, tone) {
             (Answer::Stands(text), _) => {
                 self.ports[p].role = Role::Talking(call);
+                self.watch_lease(now, p);
                 let mut c = command(Verb::Mdcx, self.ports[p].endpoint.clone());
                 c.params = self.connection_params(p).with("M", "sendrecv");
                 c.sdp = text.as_ref().map(|t| t.0.to_string());
@@ -776,6 +794,30 @@
         }
     }
 
+    /// Has the gateway of a port at which a call has come to stand looked at for as long as it stands.
+    fn watch_lease(&mut self, now: Micros, p: usize) {
+        self.out.push(AgentOutput::Wake(now + LOOK, AgentDue::Lease(p, self.ports[p].use_id)));
+    }
+
+    /// Guards the far side of a call against a gateway that is gone without a word: nobody would tell of its end.
+    fn look_at_lease(&mut self, now: Micros, p: usize) {
+        let standing =
+            matches!(self.ports[p].role, Role::Talking(_) | Role::Called { stage: Stage::Standing, .. });
+        if !standing {
+            return;
+        }
+        let silent = now - self.heard[self.ports[p].gateway];
+        if silent + LOOK > LEASE {
+            self.counts.lease_expired += 1;
+            self.lost(p);
+            return self.silent(now, p);
+        }
+        if silent >= LOOK {
+            self.audit(now, p);
+        }
+        self.watch_lease(now, p);
+    }
+
     fn audit(&mut self, now: Micros, p: usize) {
         let c = command(Verb::Auep, self.ports[p].endpoint.clone());
         self.send(now, p, c, Purpose::Audit(p));
--- a/src/transport/coordinator.rs
+++ b/src/transport/coordinator.rs
@@ -5,16 +5,25 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::{pin, Pin};
 use std::time::{Duration, Instant};
 
 /// A stream that brings nothing, not even its comment each second, for this long is given up.
 const SILENT: Duration = Duration::from_millis(2_500);
-/// Time to connect and to get the head of the answer.
-const OPENING: Duration = Duration::from_millis(1_500);
+/// Time to connect and to get the whole head of the answer.
+const OPENING: Duration = Duration::from_millis(3_900);
+/// While an answer is waited for this long, the stream is asked for once more beside it: the coordinator may have been
+/// out of reach when it was asked first, or it may be slow.
+const ASK_AGAIN: Duration = Duration::from_millis(1_500);
+/// Requests that wait for an answer at a time.
+const MOST_ASKED: u32 = 3;
 /// Pause before the stream is asked for again.
 const AGAIN: Duration = Duration::from_millis(150);
+/// Bytes read at a time.
+const CHUNK: usize = 16 * 1024;
 /// The longest head of an answer.
 const LONGEST_HEAD: usize = 16 * 1024;
 
@@ -76,15 +85,12 @@
     }
 }
 
-async fn within<T>(
-    limit: Duration,
-    work: impl std::future::Future<Output = io::Result<T>>,
-) -> Result<T, Lost> {
+async fn within<T>(limit: Duration, work: impl Future<Output = Result<T, Lost>>) -> Result<T, Lost> {
     let late = async {
         Timer::after(limit).await;
         Err(Lost::Silent)
     };
-    future::or(async { work.await.map_err(Lost::from) }, late).await
+    future::or(work, late).await
 }
 
 async fn once(
@@ -109,17 +115,55 @@
     future::or(wished, stream).await
 }
 
-async fn read(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
-    let mut stream = within(OPENING, Async::<TcpStream>::connect(address)).await?;
+/// A stream whose head has come.
+struct Opened {
+    stream: Async<TcpStream>,
+    chunked: bool,
+    /// What came after the head.
+    body: Vec<u8>,
+}
+
+/// Asks for the stream from the event after `last` on, and once more beside that while no answer comes. The first
+/// answer counts, and the other requests are dropped.
+fn open_with_spare(
+    address: SocketAddr,
+    last: u64,
+    most: u32,
+) -> Pin<Box<dyn Future<Output = Result<Opened, Lost>>>> {
+    Box::pin(async move {
+        let mut first = pin!(within(OPENING, open(address, last)));
+        if most <= 1 {
+            return first.await;
+        }
+        let waited = async {
+            Timer::after(ASK_AGAIN).await;
+            None
+        };
+        if let Some(answer) = future::or(async { Some(first.as_mut().await) }, waited).await {
+            return answer;
+        }
+        let mut spare = open_with_spare(address, last, most - 1);
+        let either =
+            future::or(async { (true, first.as_mut().await) }, async { (false, spare.as_mut().await) });
+        match either.await {
+            (_, Ok(opened)) => Ok(opened),
+            (true, Err(_)) => spare.await,
+            (false, Err(_)) => first.await,
+        }
+    })
+}
+
+async fn open(address: SocketAddr, last: u64) -> Result<Opened, Lost> {
+    let mut stream = Async::<TcpStream>::connect(address).await?;
     let request = format!(
         "GET /v2/stream HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\n\
          Last-Event-ID: {last}\r\nCache-Control: no-cache\r\n\r\n"
     );
-    within(OPENING, stream.write_all(request.as_bytes())).await?;
+    stream.write_all(request.as_bytes()).await?;
     let mut head = Vec::new();
-    let mut buffer = vec![0; 16 * 1024];
-    let (chunked, body) = loop {
-        let n = within(OPENING, stream.read(&mut buffer)).await?;
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let n = stream.read(&mut buffer).await?;
         head.extend_from_slice(&buffer[..n]);
         let mut headers = [httparse::EMPTY_HEADER; 64];
         let mut response = httparse::Response::new(&mut headers);
@@ -131,13 +175,19 @@
                 h.name.eq_ignore_ascii_case("transfer-encoding")
                     && h.value.to_ascii_lowercase().ends_with(b"chunked")
             };
-            break (response.headers.iter().any(coded), head[at..].to_vec());
+            let chunked = response.headers.iter().any(coded);
+            return Ok(Opened { stream, chunked, body: head[at..].to_vec() });
         }
         if n == 0 || head.len() > LONGEST_HEAD {
             return Err(Lost::Status(None));
         }
-    };
+    }
+}
+
+async fn read(address: SocketAddr, last: &mut u64, inbox: &Sender<Inbound>) -> Result<(), Lost> {
+    let Opened { mut stream, chunked, body } = open_with_spare(address, *last, MOST_ASKED).await?;
     inbox.send(Inbound::Stream(Ok(()))).await.map_err(|_| Lost::Over)?;
+    let mut buffer = vec![0; CHUNK];
     let (mut chunks, mut reader) = (Dechunker::default(), EventReader::default());
     let mut bytes = body;
     loop {
@@ -160,7 +210,7 @@
         if over {
             return Ok(());
         }
-        let n = within(SILENT, stream.read(&mut buffer)).await?;
+        let n = within(SILENT, async { Ok(stream.read(&mut buffer).await?) }).await?;
         if n == 0 {
             return Ok(());
         }
--- a/tests/call_agent.rs
+++ b/tests/call_agent.rs
@@ -264,6 +264,8 @@
         m.step(Step::Pass(60_000 * MS));
         let ringing = m.legs.values().filter(|l| **l == Call::Open).count();
         assert!(ringing <= 3, "at most what rings at its three endpoints");
+        let standing = m.legs.values().chain(m.calls.values()).filter(|c| **c == Call::Standing).count();
+        assert_eq!(standing, 0, "nothing stands at a gateway that is gone");
         Ok(())
     });
     run.unwrap_or_else(|e| panic!("{e}"));
--- a/tests/common/lines.rs
+++ b/tests/common/lines.rs
@@ -154,15 +154,31 @@
 
 impl Coordinator {
     pub fn accept(feed: &TcpListener) -> Coordinator {
-        let mut stream = feed.accept().unwrap().0;
+        let mut asked = Coordinator::asked(feed);
+        asked.answer();
+        asked
+    }
+
+    /// One that was asked for the stream and has not answered.
+    pub fn asked(feed: &TcpListener) -> Coordinator {
+        let stream = feed.accept().unwrap().0;
         let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
         assert_eq!(lines.next().unwrap(), "GET /v2/stream HTTP/1.1");
         let head: Vec<String> = lines.take_while(|l| !l.is_empty()).collect();
         let last = head.iter().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap().to_owned();
-        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n").unwrap();
         Coordinator { stream, last }
     }
+
+    pub fn answer(&mut self) {
+        let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n";
+        self.stream.write_all(head).unwrap();
+    }
+
     pub fn event(&mut self, update: &Value) {
-        write!(self.stream, "id: {}\ndata: {update}\n\n", update["index"]).unwrap();
+        self.raw_event(update["index"].as_u64().unwrap(), &update.to_string());
+    }
+
+    pub fn raw_event(&mut self, index: u64, data: &str) {
+        write!(self.stream, "id: {index}\ndata: {data}\n\n").unwrap();
     }
 }
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -137,6 +137,10 @@
                         *leg = Leg::Out;
                     }
                 }
+                LinkOutput::Unsend { call, .. } => {
+                    assert_ne!(self.state, ListState::Ready);
+                    assert_eq!(self.legs[call.0 as usize], Leg::Out);
+                }
                 LinkOutput::TakeBack { call, .. } => assert_eq!(self.legs[call.0 as usize], Leg::Cleared),
                 LinkOutput::HangUp(conn, _) => {
                     assert_eq!(self.conn.map(|c| c.0), Some(conn));
