Add seeded fault trials of real processes, and cut calls whose end may have been told in vain

Cause: a release of any call renewed the leases of all calls of its process. Now a connection that is lost before anything came on it, or within 100 ms, leaves all calls so far on the lease they have. A test of the link shows it (both calls over; one stood on before).

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod exchange;
+pub mod faulty;
 mod host;
 
 pub use callers::{Callers, Load, Table};
--- /dev/null
+++ b/crates/trials/src/check/exchanges.rs
@@ -0,0 +1,119 @@
+//! What is sent to exchanges follows the coordinator's list, and a cold exchange is spared.
+
+use super::history::{Change, History};
+use super::{Rule, Violation, SLACK};
+use walnuthatch_standin::faulty::record::At;
+
+/// A change counts as told this long after the coordinator has it (µs).
+const TOLD: At = 7_000_000;
+/// The same, since a coordinator that could not be reached can be.
+const TOLD_AFTER_OUTAGE: At = 6_000_000;
+/// Set-ups to an exchange that drains must end within this (µs).
+const DRAIN: At = 250_000;
+/// A new exchange is connected to this long after it is told, at the latest (µs): connections are tried again at
+/// growing waits of up to a second.
+const CONNECTED: At = 2_500_000;
+/// The settings of the trials: a cold exchange falls when pushed for this long (µs), by this multiple of its
+/// capacity, which grows from this share to the whole in this time (µs).
+const FALL: At = 2_000_000;
+const OVERLOAD: f64 = 2.5;
+const COLD_FROM: f64 = 0.35;
+const COLD: At = 15_000_000;
+/// A warm exchange takes this multiple of what it gets on average.
+const CAPACITY: f64 = 2.0;
+
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut found = drains(history);
+    found.extend(cold(history));
+    found.extend(news(history));
+    found
+}
+
+/// When a change counts as told to a controller.
+fn told(history: &History, controller: usize, change: &Change) -> At {
+    let reach = history.reachable_from(change.at);
+    let rule = if reach == change.at { change.at + TOLD } else { reach.saturating_add(TOLD_AFTER_OUTAGE) };
+    let told = history.told.get(&(controller, change.index)).copied();
+    told.map_or(rule, |t| t.min(rule))
+}
+
+fn drains(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (sid, attempt) in history.attempts.iter().flat_map(|(s, all)| all.iter().map(move |a| (s, a))) {
+        let (controller, exchange) = (attempt.controller, attempt.exchange);
+        let of = |c: &&Change| c.exchange == exchange && c.at <= attempt.came;
+        // Whatever is up there now may be sent to.
+        let Some(change) = history.changes.iter().rev().find(of).filter(|c| c.phase != "up") else {
+            continue;
+        };
+        let first = history
+            .changes
+            .iter()
+            .find(|c| c.member == change.member && c.phase != "up" && c.at > last_up(history, change));
+        let Some(first) = first else { continue };
+        let started = history.life(controller, attempt.came).map_or(0, |l| l.started);
+        let told = told(history, controller, first).max(started);
+        let limit = told.saturating_add(DRAIN + SLACK);
+        if attempt.came > limit && history.open(controller, exchange, told, attempt.came) {
+            let late = (attempt.came - told) / 1000;
+            let what =
+                format!("n{controller} sent to x{exchange} ({}) {late} ms after it was told", first.phase);
+            found.push(Violation { rule: Rule::Drain, at: attempt.came, what, sid: Some(sid.clone()) });
+        }
+    }
+    found
+}
+
+/// When the member of a change was last listed as up before it.
+fn last_up(history: &History, change: &Change) -> At {
+    let up = |c: &&Change| c.member == change.member && c.phase == "up" && c.at <= change.at;
+    history.changes.iter().rev().find(up).map_or(0, |c| c.at)
+}
+
+fn cold(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for &(started, exchange) in &history.cold {
+        let to = |a: &&super::history::Attempt| {
+            a.exchange == exchange && a.came >= started && a.came < started + COLD
+        };
+        let mut times: Vec<At> = history.attempts.values().flatten().filter(to).map(|a| a.came).collect();
+        times.sort_unstable();
+        for (first, &from) in times.iter().enumerate() {
+            let within = times[first..].iter().take_while(|&&t| t < from + FALL).count();
+            let done = (from - started) as f64 / COLD as f64;
+            let share = COLD_FROM + (1.0 - COLD_FROM) * done;
+            let allowed = OVERLOAD * CAPACITY * history.mean_rate * share * (FALL as f64 / 1e6);
+            let most = allowed + 2.0 * allowed.sqrt() + 2.0;
+            if within as f64 > most {
+                let what = format!("x{exchange} got {within} set-ups in 2 s, {most:.0} at most");
+                found.push(Violation { rule: Rule::ColdOverload, at: from, what, sid: None });
+                break;
+            }
+        }
+    }
+    found
+}
+
+/// Whether each controller connects to what comes up at the coordinator under a new name.
+fn news(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (n, change) in history.changes.iter().enumerate().filter(|(_, c)| c.phase == "up") {
+        if history.changes[..n].iter().any(|c| c.member == change.member) {
+            continue;
+        }
+        for controller in 0..history.lives.len() {
+            let due = told(history, controller, change).saturating_add(CONNECTED);
+            let steady = due < history.end
+                && history.one_life(controller, change.at, due)
+                && history.open(controller, change.exchange, change.at, due);
+            let gone = history.changes[n + 1..].iter().any(|c| c.exchange == change.exchange && c.at <= due);
+            let times = history.connected.get(&(controller, change.exchange));
+            let connected = times.into_iter().flatten().any(|&t| t + SLACK >= change.at && t <= due);
+            if steady && !gone && !connected {
+                let what = format!("n{controller} did not follow {} at x{}", change.member, change.exchange);
+                found.push(Violation { rule: Rule::NewsMissed, at: due, what, sid: None });
+            }
+        }
+    }
+    found
+}
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -39,6 +39,8 @@
 /// answer may have been on its way, and what it took is taken still. Well under the quiet period, after which the
 /// same name may be set up again.
 const RELEASE_RESET: Micros = 400_000;
+/// What an exchange has to tell on a new connection has come by then (µs).
+const SETTLING: Micros = 100_000;
 /// A lease that this program's own standing still has let run out is looked at again this long after (µs).
 const LEASE_GRACE: Micros = 300_000;
 /// A removed exchange has this long to end its calls in words (µs).
@@ -212,6 +214,8 @@
     doubt: bool,
     /// It was connected and spoke, or could not be connected, at least once.
     settled: bool,
+    /// When the present connection came up.
+    came_up: Option<Micros>,
     /// When something was last heard on the present connection.
     heard: Option<Micros>,
     /// When the present connection was tested, with nothing heard since.
@@ -322,6 +326,7 @@
             retry_due: None,
             doubt: false,
             settled: false,
+            came_up: None,
             heard: None,
             tested: None,
             gap: SILENT.2 as f64,
@@ -413,6 +418,7 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let Some(link) = self.links.get_mut(&office) else { return };
         link.line = Line::Up(conn);
+        link.came_up = Some(now);
         link.doubt = false;
         self.out.push(LinkOutput::Wake(now + LOOK, LinkDue::Look(conn, now + LOOK)));
         for (until, sid) in std::mem::take(&mut link.owed) {
@@ -436,8 +442,11 @@
         let was_up = matches!(link.line, Line::Up(_));
         link.line = Line::Down;
         link.settled = true;
-        if was_up {
-            link.leases.lost();
+        let early = link.heard.is_none() || link.came_up.is_some_and(|at| now - at < SETTLING);
+        match (was_up, early) {
+            (true, true) => link.leases.lost_early(now),
+            (true, false) => link.leases.lost(),
+            (false, _) => {}
         }
         match how {
             Closing::Refused => {
--- a/src/protocol/upstream_lease.rs
+++ b/src/protocol/upstream_lease.rs
@@ -32,12 +32,20 @@
     disconnected: bool,
     /// Processes from before a break that have not been heard of since, and when they last were.
     unproven: BTreeMap<Generation, Micros>,
+    /// Calls of earlier processes than this one may be over without a word, though their process is still there.
+    untold_before: Generation,
 }
 
 impl Leases {
     /// No calls yet.
     pub fn new(now: Micros) -> Self {
-        Leases { current: Generation::default(), proven: now, disconnected: false, unproven: BTreeMap::new() }
+        Leases {
+            current: Generation::default(),
+            proven: now,
+            disconnected: false,
+            unproven: BTreeMap::new(),
+            untold_before: Generation::default(),
+        }
     }
 
     /// The process that has the calls which come to stand now.
@@ -50,18 +58,34 @@
         self.disconnected = true;
     }
 
+    /// A connection is no more that had only just come up, or on which nothing has come. An exchange tells the ends of
+    /// calls that it could not tell before on the next connection, once: what it told on this one is lost, so that
+    /// none of the calls so far can be taken to stand for longer than its lease.
+    pub fn lost_early(&mut self, now: Micros) {
+        self.lost();
+        self.break_off(now);
+        self.untold_before = self.current;
+    }
+
+    fn break_off(&mut self, now: Micros) {
+        // Guards memory against an exchange that is out of reach for ever.
+        self.unproven.retain(|_, proven| now - *proven < 2 * LEASE);
+        self.unproven.insert(self.current, self.proven);
+        self.current = Generation(self.current.0 + 1);
+    }
+
     /// Something came on the present connection.
     pub fn heard(&mut self, now: Micros) {
         if std::mem::take(&mut self.disconnected) && now - self.proven > UNBROKEN {
-            self.unproven.insert(self.current, self.proven);
-            self.current = Generation(self.current.0 + 1);
+            self.break_off(now);
         }
         self.proven = now;
     }
 
     /// The process that speaks now said something of a call of that generation: it has been there since then.
     pub fn confirm(&mut self, generation: Generation) {
-        self.unproven.retain(|&unproven, _| unproven < generation);
+        let untold_before = self.untold_before;
+        self.unproven.retain(|&unproven, _| unproven < generation.max(untold_before));
     }
 
     /// Whether the calls of this generation have lost their lease.
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -363,6 +363,30 @@
     assert_eq!(m.legs, [Leg::Over, Leg::Standing]);
 }
 
+#[test]
+fn calls_are_cut_when_the_connection_that_may_have_told_their_end_was_given_up() {
+    let mut m = LinkModel::new();
+    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
+        .into_iter()
+        .for_each(|s| m.step(s));
+    // The exchange hangs while its system accepts: it will tell the ends of calls on a connection that is given up.
+    let hangs = m.now;
+    while m.now - hangs < 4_000 * MS {
+        m.mute = m.conn.map(|c| c.0);
+        m.pass(20 * MS);
+        m.step(LinkStep::Up);
+    }
+    m.mute = None;
+    m.reconnect();
+    m.hear();
+    m.step(LinkStep::Close(0, 16));
+    for _ in 0..40 {
+        m.hear();
+        m.pass(100 * MS);
+    }
+    assert_eq!(m.legs, [Leg::Over, Leg::Over]);
+}
+
 #[test]
 fn a_link_keeps_one_connection_and_ends_each_set_up_once() {
     use LinkStep::*;
