Cut the decision module into a folder of modules by decision

Now src/routing/control/ has a module for each decision: route, tandem, load, slow start, own state, retry, outcome, membership and the rest.

--- /dev/null
+++ b/src/routing/control/load.rs
@@ -0,0 +1,42 @@
+//! Whether an exchange may be sent a set-up, and how many.
+
+use super::*;
+
+impl Controller {
+    /// Whether the office may be sent anything at all: on the list, its gate open, its cold budget unspent.
+    pub(super) fn takes_setups(&self, now: Micros, i: usize) -> bool {
+        let o = &self.offices[i];
+        // Danger: a suspicion may be wrong, and only an answer shows it: one set-up at a time goes on.
+        let most = if self.suspected.contains(&o.exchange) { 0 } else { usize::MAX };
+        let waiting = o.waiting(now, self.mean_aim);
+        o.state == ListState::Ready
+            && waiting <= most
+            && o.gate.lets_in(now, waiting)
+            && self.cold_credit(now, o).is_none_or(|c| c >= 0.0)
+    }
+
+    /// The next random number, from 0 to 1.
+    pub(super) fn chance(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.seed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Own set-ups per µs and office, as of late.
+    pub(super) fn usual_rate(&self, now: Micros) -> f64 {
+        let span = (now - self.born.unwrap_or(now)).clamp(1_000_000, USUAL_SPAN);
+        self.sent.len() as f64 / span as f64 / self.ready.max(1) as f64
+    }
+
+    /// Set-ups that may be out through a fully open gate: as many as are sent within the target delay, at
+    /// the least `GATE_WIDEST`. Danger: a fixed window caps the rate at its width over the set-up delay, and
+    /// a site with many quick set-ups turns calls away that its processors and circuits could take.
+    pub(super) fn widest(&self, now: Micros) -> f64 {
+        let own = self.usual_rate(now) * self.ready.max(1) as f64;
+        GATE_WIDEST.max(own * TARGET * self.mean_aim)
+    }
+
+    /// The design's "accepting": not pressed by the last news of its processor, nor by a set-up out long.
+    pub(super) fn accepting(&self, now: Micros, o: &Office) -> bool {
+        now >= o.pressed && o.age(now) <= PHI * FULL_WAIT * self.shortest_aim as f64
+    }
+}
--- /dev/null
+++ b/src/routing/control/membership.rs
@@ -0,0 +1,72 @@
+//! The list of exchanges.
+
+use super::*;
+
+/// The list is asked for again this long after a failure (on request; µs).
+const LIST_RETRY: Micros = 1_000_000;
+
+impl Controller {
+    pub(super) fn on_list(&mut self, now: Micros, news: ListNews) {
+        let (entries, complete) = match news {
+            ListNews::Failed => {
+                self.list_due = Some(now + LIST_RETRY);
+                return;
+            }
+            ListNews::Changes(e) => (e, false),
+            ListNews::Complete(e) | ListNews::Cached(e) => (e, true),
+        };
+        for e in entries.iter() {
+            self.on_entry(now, e);
+        }
+        if complete {
+            let named: BTreeSet<OfficeId> = entries.iter().map(|e| e.office).collect();
+            for o in &mut self.offices {
+                if !named.contains(&o.id) {
+                    o.state = ListState::Gone;
+                }
+            }
+        }
+        self.listed = true;
+        self.ready = self.offices.iter().filter(|o| o.state == ListState::Ready).count();
+        self.by_exchange.clear();
+        for (i, o) in self.offices.iter().enumerate() {
+            let better = |&j: &usize| self.offices[j].state == ListState::Ready;
+            if !self.by_exchange.get(&o.exchange).is_some_and(better) {
+                self.by_exchange.insert(o.exchange, i);
+            }
+        }
+    }
+
+    pub(super) fn on_entry(&mut self, now: Micros, e: &ListEntry) {
+        let part = self.chance();
+        let known = self.by_id.get(&e.office).copied();
+        let i = known.unwrap_or_else(|| {
+            // Danger: replaced machines would fill the table for good; one that is gone gives up its place.
+            let gone = self.offices.iter().position(|o| o.state == ListState::Gone && o.out.is_empty());
+            let i = gone.unwrap_or(self.offices.len());
+            let mut office = Office::new(e, now);
+            // One that was not there before may be fresh from start.
+            office.started = e.last_start.or(self.listed.then_some(now));
+            office.cold_wait.1 = part;
+            if gone.is_some() {
+                self.by_id.remove(&self.offices[i].id);
+                self.ways.retain(|way, _| way.1 != i);
+                self.offices[i] = office;
+            } else {
+                self.offices.push(office);
+            }
+            self.by_id.insert(e.office, i);
+            i
+        });
+        let o = &mut self.offices[i];
+        o.state = e.state;
+        o.exchange = e.exchange;
+        if e.last_start.is_some() && e.last_start != o.started {
+            // Restarted: what was known of the old processor is void.
+            o.started = e.last_start;
+            o.cold_wait = (now, part);
+            o.gate = Gate { width: 1.0, ..Gate::OPEN };
+            o.pressed = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/control/mod.rs
@@ -0,0 +1,184 @@
+//! Every decision of walnuthatch. The types, events and actions are in `src/routing/interface.rs`.
+//!
+//! A call goes direct until the direct group is full, then through the next tandem in turn that accepts and
+//! keeps headroom on its first leg, else it is refused: see [`Controller::route`].
+
+mod call;
+mod gate;
+mod holding;
+mod load;
+mod membership;
+mod office;
+mod outcome;
+mod own_state;
+mod peers;
+mod retry;
+mod route;
+mod slow_start;
+mod tandem;
+mod tick;
+
+use crate::routing::interface::*;
+use call::{Call, Stage};
+use gate::Gate;
+use office::Office;
+use route::Route;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tandem::Way;
+
+/// Load (share of a full processor) below which a tandem accepts and a processor passes transit on: the
+/// design page's phi.
+const PHI: f64 = 0.9;
+/// The longest that a gate stays shut at a time (the design page's mark; µs).
+const MARK: Micros = 3_000_000;
+/// Weight of one turn, or one set-up out long, in such a share.
+const LUCK_SMOOTH: f64 = 0.05;
+/// A call that met a signalling fault goes again at once while the share of the office's set-ups that do lies
+/// between these. Below, the fault is the call's own, and to ask again is work for nothing; above, the office
+/// fails all.
+const FAULTS_LEAST: f64 = 0.15;
+const FAULTS_MOST: f64 = 0.97;
+/// For how long a way counts as open after the centre named it or a call stood over it (µs).
+const WAY_OPEN: Micros = 10_000_000;
+/// Wait at a processor that counts as load 1, as a share of the shortest aim: a tandem call crosses three
+/// processors and must stay within its aim.
+const FULL_WAIT: f64 = 0.4;
+/// Set-up delays kept to judge the own wait by.
+const RECENT: usize = 12;
+/// A blocked call waits for a circuit up to this share of its aim, less the set-up delay it would meet.
+const HOLD_SHARE: f64 = 0.9;
+/// A gap between events that shows that this call server stood still: several housekeeping ticks (µs).
+const STALL: Micros = 250_000;
+/// Housekeeping: held calls, releases, list (µs).
+const TICK: Micros = 20_000;
+/// A held call is ended at the latest this long before its caller gives up (µs). Danger: it is looked at
+/// once in a tick, so that with less than a tick its answer can come after its caller has given up.
+const ANSWER_EARLY: Micros = 25_000;
+/// An office is silent when its oldest set-up has been out for this share of the mean aim and it has
+/// answered nothing since.
+const SILENCE: f64 = 0.5;
+/// A set-up out for this share of the mean aim, and overtaken by half of that, counts as lost.
+const OVERTAKEN: f64 = 0.45;
+/// Set-ups that may be out through a fully open gate, where set-ups are few; see `Controller::widest`.
+const GATE_WIDEST: f64 = 5.0;
+/// Set-up delay above which a gate narrows, as a share of the mean aim; level at 0.15, lower at 0.25.
+const TARGET: f64 = 0.2;
+/// Span over which the usual rate of set-ups is measured (µs).
+const USUAL_SPAN: Micros = 8_000_000;
+/// Peers are told of the own groups this often (µs): groups change seldom, and each message costs every
+/// receiver about a tenth of a set-up.
+const TELL_EVERY: Micros = 20_000_000;
+
+/// The decision module of one call server.
+#[derive(Debug, Default)]
+pub struct Controller {
+    settings: Settings,
+    calls: BTreeMap<CallId, Call>,
+    /// Calls held, in the order of `held_key`.
+    held: BTreeSet<(i64, Micros, CallId)>,
+    offices: Vec<Office>,
+    by_id: BTreeMap<OfficeId, usize>,
+    by_exchange: BTreeMap<ExchangeNo, usize>,
+    seed: u64,
+    /// Next tandem in turn.
+    rotor: usize,
+    /// Share of plain turns that went through, smoothed.
+    luck: f64,
+    /// Share of the set-ups out long that were lost rather than slow, smoothed.
+    lost: f64,
+    /// Ways to each destination, by tandem.
+    ways: BTreeMap<(ExchangeNo, usize), Way>,
+    numbers: BTreeMap<u64, Micros>,
+    /// Own set-ups of the last while.
+    sent: VecDeque<Micros>,
+    born: Option<Micros>,
+    listed: bool,
+    /// Offices in service.
+    ready: usize,
+    list_due: Option<Micros>,
+    tell_due: Option<Micros>,
+    shortest_aim: Micros,
+    mean_aim: f64,
+    own_gate: Gate,
+    /// The last set-ups that stood: when, and after how long.
+    recent: VecDeque<(Micros, Micros)>,
+    /// Last sign of life of any office.
+    heard: Micros,
+    /// When the latest set-up that stood was sent.
+    stood_sent: Micros,
+    /// Longest patience of a first try, by class.
+    patience: BTreeMap<usize, Micros>,
+    /// The last event; the last waking after standing still, and for how long that was.
+    last: Micros,
+    woke: Micros,
+    stood_still: Micros,
+    /// Offices with set-ups out.
+    busy: BTreeSet<usize>,
+    /// What operators took out of service.
+    withdrawn: Withdrawn,
+    /// What others' evidence speaks against.
+    suspected: BTreeSet<ExchangeNo>,
+    /// The exchange that each peer speaks for.
+    voices: BTreeMap<PeerNo, ExchangeNo>,
+}
+
+impl Controller {
+    /// A controller that knows nothing but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aims = settings.classes.iter().map(|c| c.aim);
+        Controller {
+            shortest_aim: aims.clone().min().unwrap_or(1_000_000).max(1),
+            mean_aim: aims.sum::<Micros>() as f64 / settings.classes.len().max(1) as f64,
+            own_gate: Gate::OPEN,
+            rotor: (seed >> 32) as usize,
+            luck: 1.0,
+            lost: 0.5,
+            settings,
+            seed,
+            ..Controller::default()
+        }
+    }
+
+    /// Takes one event and adds what is to be done about it to `out`.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        if self.born.is_none() {
+            self.born = Some(now);
+            self.list_due = (self.settings.membership == Membership::OnRequest).then_some(now);
+            let first = now + TICK + (self.seed % (TELL_EVERY / 20) as u64) as Micros;
+            self.tell_due = self.settings.may_tell.then_some(first);
+            out.push(Action::SetTimer { after: TICK, token: 0 });
+        }
+        // Danger: a call server that stood still takes its own silence for that of the offices, and what
+        // waited for it for slow.
+        if now - self.last > STALL {
+            (self.woke, self.stood_still) = (now, now - self.last);
+        }
+        self.last = now;
+        // Danger: what is tried again on every event costs more the more offices there are. Held calls wait
+        // for a circuit (the group changes) or a place of the own window; the rest shows on a tick.
+        let full = !self.own_gate.lets_in(now, self.own_out(now));
+        let freed = full && matches!(event, Event::Stands { .. } | Event::Ended(_));
+        match event {
+            Event::List(news) => self.on_list(now, news),
+            Event::Call(ask) => self.on_call(now, ask, out),
+            Event::Stands { call, office, took, .. } => self.on_stands(now, call, office, took),
+            Event::Ended(o) => self.on_ended(now, o, out),
+            Event::Group { office, report } => {
+                if let Some(&i) = self.by_id.get(&office) {
+                    self.note_report(now, i, report);
+                    self.serve_held(now, Some(i), !full, out);
+                }
+            }
+            Event::Peer { from, body } => self.on_peer(from, &body),
+            Event::ProbeFailed(_) => {}
+            Event::Suspected(s) => self.suspected = s,
+            Event::Withdrawn(w) => {
+                self.withdrawn = w;
+                self.serve_held(now, None, true, out);
+            }
+            Event::CallerGone(call) => drop(self.forget(call)),
+            Event::Timer(_) => self.on_tick(now, out),
+        }
+        self.serve_held(now, None, freed, out);
+    }
+}
--- /dev/null
+++ b/src/routing/control/retry.rs
@@ -0,0 +1,73 @@
+//! What becomes of a call whose set-up ended, and which set-ups are called off.
+
+use super::*;
+
+/// Set-ups that any later one overtook are called off while this share of those out long is lost, not slow.
+const LOST_LEAST: f64 = 0.6;
+
+impl Controller {
+    pub(super) fn on_ended(&mut self, now: Micros, o: Outcome, out: &mut Vec<Action>) {
+        if let Some(&i) = self.by_id.get(&o.office) {
+            self.note_report(now, i, o.report);
+        }
+        let last = self.calls.get(&o.call).filter(|c| c.tries == u32::from(o.attempt.0) + 1);
+        let Some(Stage::Out { office, since }) = last.map(|c| c.stage) else { return };
+        self.back_in(office, since, o.call);
+        self.judge(now, office, &o);
+        if o.over {
+            return drop(self.forget(o.call));
+        }
+        let unclear = matches!(o.ending, Ending::TimedOut | Ending::Reset | Ending::CalledOff);
+        let release = if unclear { self.settings.release + self.settings.tick } else { 0 };
+        let aim = self.calls.get(&o.call).map_or(self.shortest_aim, |c| self.aim(&c.ask));
+        let Some(call) = self.calls.get_mut(&o.call) else { return };
+        call.ran |= !matches!(o.ending, Ending::Full | Ending::Unreachable | Ending::NotSent);
+        let direct = self.offices[office].exchange == call.ask.destination;
+        let faults = self.offices[office].faults;
+        if o.ending == Ending::Fault {
+            // It tells nothing of the way: the same tandem may be asked again.
+            call.tried.retain(|&t| t != office);
+        }
+        let again = match (o.ending, o.cause) {
+            (Ending::Full, Cause::FarProcessorFull) | (_, Cause::LinesBusy) => false,
+            (Ending::NotSent, Cause::NoCircuit) => true,
+            (Ending::Full, _) => !direct || self.settings.shape == Shape::Pools,
+            // Danger: an exchange that fails part of its set-ups at once would have each of them refused, and
+            // its caller dial again only after a wait.
+            (Ending::Fault, _) => (FAULTS_LEAST..FAULTS_MOST).contains(&faults),
+            _ => unclear,
+        };
+        let hold = call.arrived + (HOLD_SHARE * aim as f64) as Micros;
+        let until = hold.max(now + release + 1).min(call.deadline - ANSWER_EARLY);
+        if again && now + release < until.max(now + 1) && !(call.ask.transit && release > 0) {
+            call.stage = Stage::Held { from: now + release, until };
+            if o.ending == Ending::NotSent {
+                if let Some(g) = &mut self.offices[office].group {
+                    g.0 = g.0.min(0.0);
+                }
+            }
+            self.try_call(now, o.call, out);
+        } else {
+            self.refuse(now, o.call, out);
+        }
+    }
+
+    /// Danger: a set-up whose answer was lost keeps its call waiting to the end. One that later ones have
+    /// long overtaken is called off, and goes again after the release: later ones to the same office, or to
+    /// any if the last one here was quick, and of late those out so long were lost rather than slow.
+    pub(super) fn call_off_lost(&self, now: Micros, out: &mut Vec<Action>) {
+        let patience = (OVERTAKEN * self.mean_aim) as Micros;
+        let busy = self.busy.iter().map(|&i| &self.offices[i]);
+        for o in busy.filter(|_| self.settings.may_call_off && now - self.woke > patience) {
+            let any = o.last_took < patience / 2 && self.lost >= LOST_LEAST;
+            let newest = if any { self.stood_sent } else { o.stood_sent };
+            let lost = |s: &&(Micros, CallId)| now - s.0 > patience && newest - s.0 > patience / 2;
+            for call in o.out.iter().take_while(lost).filter_map(|s| self.calls.get(&s.1)) {
+                if !call.ask.transit && !self.guarded(call) {
+                    let attempt = AttemptNo((call.tries - 1) as u8);
+                    out.push(Action::CallOff { call: call.ask.call, attempt });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/control/route.rs
@@ -0,0 +1,119 @@
+//! The choice of the route: direct, through a tandem, or none.
+
+use super::*;
+
+/// Plain turns alone decide while this share of them goes through; 0.35 and 0.6 both scored lower.
+const LUCK_LEAST: f64 = 0.5;
+/// From this share on an office is a tandem only where no other one serves.
+const FAULTS_TANDEM: f64 = 0.25;
+/// The same for the own wait, from which on transit is turned back: later than a tandem is passed over, since
+/// what two processors did for the call is then lost.
+const OWN_FULL: f64 = 0.8;
+
+/// Where a call goes now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Route {
+    Via(usize),
+    /// No way on at present, perhaps soon.
+    Blocked,
+    /// No way on.
+    Closed,
+}
+
+impl Controller {
+    /// Direct while the group has room; then the next tandem in turn that accepts, keeps headroom on its
+    /// first leg and did not just turn such a call back; else none. In transit: on, or back.
+    pub(super) fn route(&mut self, now: Micros, call: &Call) -> Route {
+        let ask = &call.ask;
+        let width = f64::from(ask.width);
+        let Some(&direct) = self.by_exchange.get(&ask.destination) else { return Route::Closed };
+        // Danger: a call for what will not come back soon would wait, and be refused at its end.
+        if self.withdrawn.all || self.withdrawn.exchanges.contains(&ask.destination) {
+            return Route::Closed;
+        }
+        // Danger: while another call server restarts, calls of its subscribers come here, some of them for
+        // this exchange. Nothing may be sent to the own one, but a tandem has a group back to it.
+        let own = Some(ask.destination) == self.settings.own;
+        if own && (ask.transit || ask.redialled) || !self.skilled(ask, ask.destination) {
+            return Route::Closed;
+        }
+        let open = !own && self.takes_setups(now, direct);
+        let d = &self.offices[direct];
+        if ask.transit {
+            let room = d.group.is_none_or(|g| g.0 >= width && 1.0 - g.0 / g.1.max(1.0) <= PHI);
+            let pressed = self.own_delay(now) > PHI * OWN_FULL * self.shortest_aim as f64;
+            return if open && room && !pressed { Route::Via(direct) } else { Route::Closed };
+        }
+        // Danger: redials, past their aim, fill the window before first tries.
+        let spare = usize::from(ask.redialled);
+        if !self.own_gate.lets_in(now, self.own_out(now) + spare) {
+            return Route::Blocked;
+        }
+        let room = open && d.free() >= width + if ask.redialled { d.headroom() } else { 0.0 };
+        // Danger: where most set-ups meet a fault, a call has too few tries. The last one goes over a tandem,
+        // whose call server asks as often again.
+        let last = call.tries + 1 == self.settings.try_limit && d.faults >= FAULTS_LEAST && !ask.redialled;
+        if room && !last {
+            return Route::Via(direct);
+        }
+        if self.settings.shape == Shape::Mesh && (!open && !own || ask.redialled) {
+            return Route::Blocked;
+        }
+        let turn = self.rotor % self.offices.len();
+        let mut plain = (turn..self.offices.len()).chain(0..turn);
+        let found = if self.luck >= LUCK_LEAST {
+            let trusted = |o: &Office| o.faults < FAULTS_TANDEM && !self.suspected.contains(&o.exchange);
+            let sound = |&i: &usize| trusted(&self.offices[i]) && self.serves(now, i, call);
+            let any = plain.clone();
+            plain.find(sound).or_else(|| any.into_iter().find(|&i| !last && self.serves(now, i, call)))
+        } else {
+            // Danger: where few plain turns go through, each is work for two processors. Then the turn is
+            // over the ways known to be open, and plain only for a first try while none is known.
+            let to = ask.destination;
+            let (on, before) =
+                (self.ways.range((to, turn)..=(to, usize::MAX)), self.ways.range((to, 0)..(to, turn)));
+            let mut known = on.chain(before).filter(|w| now - w.1.open < WAY_OPEN).map(|w| w.0 .1).peekable();
+            if known.peek().is_none() && call.tried.is_empty() {
+                plain.find(|&i| self.serves(now, i, call))
+            } else {
+                known.find(|&i| self.serves(now, i, call))
+            }
+        };
+        match found {
+            Some(i) => {
+                self.rotor = i + 1;
+                Route::Via(i)
+            }
+            None if room => Route::Via(direct),
+            None => Route::Blocked,
+        }
+    }
+
+    /// Whether the call may take that tandem (or pool of second choice) now.
+    pub(super) fn serves(&self, now: Micros, i: usize, call: &Call) -> bool {
+        let (ask, t) = (&call.ask, &self.offices[i]);
+        t.exchange != ask.destination
+            && Some(t.exchange) != self.settings.own
+            && self.skilled(ask, t.exchange)
+            && t.group.is_some_and(|g| g.0 >= self.least_free(ask, g.1) + t.headroom())
+            && !call.tried.contains(&i)
+            && t.leads_to(ask.destination)
+            && self.ways.get(&(ask.destination, i)).is_none_or(|w| now >= w.back)
+            && self.accepting(now, t)
+            && self.takes_setups(now, i)
+    }
+
+    /// Free circuits that a call needs of a tandem's group of that size, beside the headroom. Back to the own
+    /// exchange it takes as many again, and the tandem turns it back when the group is busier than it may be.
+    pub(super) fn least_free(&self, ask: &NewCall, size: f64) -> f64 {
+        let width = f64::from(ask.width);
+        let back = Some(ask.destination) == self.settings.own;
+        width + if back { width + (1.0 - PHI) * size } else { 0.0 }
+    }
+
+    /// Whether the class may go to that pool (always, between exchanges).
+    pub(super) fn skilled(&self, ask: &NewCall, exchange: ExchangeNo) -> bool {
+        let pools = self.settings.classes.get(ask.class).map_or(&[][..], |c| &c.pools);
+        self.settings.shape == Shape::Mesh || pools.is_empty() || pools.contains(&exchange)
+    }
+}
--- /dev/null
+++ b/src/routing/control/tandem.rs
@@ -0,0 +1,36 @@
+//! What is known of the ways from tandems on to destinations.
+
+use super::*;
+
+/// How long a way (tandem, destination) that turned a call back is passed over (µs).
+const WAY_BACK: Micros = 6_000_000;
+
+/// What is known of a way: from a tandem on to a destination, by which only the tandem's own groups matter.
+/// Danger: where many pairs have no group or a thin one, plain turns meet mostly tandems that have no way on,
+/// and each turned-back call is work for two processors.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Way {
+    /// Passed over until then, since it turned a call back.
+    pub(super) back: Micros,
+    /// When the centre last named it, or a call last stood over it.
+    pub(super) open: Micros,
+}
+
+impl Controller {
+    /// Notes how a call to there over that tandem went, as far as the tandem's own groups decided it.
+    pub(super) fn note_turn(&mut self, now: Micros, to: ExchangeNo, tandem: usize, stood: bool) {
+        if self.ways.get(&(to, tandem)).is_none_or(|w| now - w.open >= WAY_OPEN) {
+            self.luck += LUCK_SMOOTH * (f64::from(u8::from(stood)) - self.luck);
+        }
+        if stood {
+            self.note_open(now, to, tandem);
+        } else {
+            self.ways.insert((to, tandem), Way { back: now + WAY_BACK, open: now - WAY_OPEN });
+        }
+    }
+
+    /// Notes that the way over that tandem is open.
+    pub(super) fn note_open(&mut self, now: Micros, to: ExchangeNo, tandem: usize) {
+        self.ways.entry((to, tandem)).or_insert(Way { back: 0, open: now }).open = now;
+    }
+}
--- /dev/null
+++ b/src/routing/control/tick.rs
@@ -0,0 +1,26 @@
+//! Housekeeping, some tens of times a second.
+
+use super::*;
+
+impl Controller {
+    pub(super) fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::SetTimer { after: TICK, token: 0 });
+        if self.list_due.is_some_and(|due| now >= due) {
+            self.list_due = None;
+            out.push(Action::Subscribe);
+        }
+        if self.tell_due.is_some_and(|due| now >= due) {
+            self.tell_due = Some(now + TELL_EVERY);
+            self.tell_groups(out);
+        }
+        let silence = SILENCE * self.mean_aim;
+        let hangs = |o: &Office| o.silent(now, self.woke, silence) && !o.by_chance(o.out.len());
+        for o in self.offices.iter_mut().filter(|o| hangs(o)) {
+            o.shut(now, 0);
+        }
+        self.call_off_lost(now, out);
+        self.ways.retain(|_, w| w.back > now || now - w.open < WAY_OPEN);
+        self.numbers.retain(|_, until| *until > now);
+        self.serve_held(now, None, true, out);
+    }
+}
