Answer the first set-up on a connection beyond the limit, and spare exchanges that end connections

Looked for in code related to the incident: a connection that came up beyond the limit was ended with its first set-up unread, and its caller, who may send that again once, could lose it; now it is read for 100 ms, and what comes is refused with an answer. An exchange that ends each connection right after its first message was connected to at once again, some hundreds of times a second; now the waits grow. A line that can't be read on a connection that was ending already left it open until it was cut; found by the model of callers' connections, which now knows when a connection takes nothing more.

--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -26,7 +26,7 @@
 /// A connection that ends has this long to take in what waits for it (µs).
 const ENDING: Micros = 500_000;
 /// A connection this young may have its first set-up on the way (µs).
-const YOUNG: Micros = 50_000;
+const YOUNG: Micros = 100_000;
 /// Set-ups open on a connection on which no call has ever stood; more are refused.
 const OPEN_NEW: usize = 100;
 /// Set-ups turned away on a connection on which no call has ever stood, after which it is ended: it may be that it
@@ -100,6 +100,8 @@
     Half(ConnId, Micros),
     /// A connection that ends has had its time.
     Ending(ConnId),
+    /// The first set-up of a connection that ends has come by now, or never will.
+    StopReading(ConnId),
     /// A release ought to have been heard.
     Unheard(Sid),
 }
@@ -310,11 +312,14 @@
     /// What came on a connection can't be read, so that nothing after it can be either.
     pub fn spoilt(&mut self, now: Micros, conn: ConnId) {
         self.counts.spoilt += 1;
-        if let Some(c) = self.conns.get_mut(&conn) {
-            // Nothing that follows on it can be trusted.
-            c.reading_stopped = true;
+        // Nothing that follows on it can be trusted.
+        match self.conns.get_mut(&conn) {
+            Some(c) if !c.ending => {
+                c.reading_stopped = true;
+                self.end(now, conn, EndReason::Unreadable);
+            }
+            _ => self.reading_stopped(conn),
         }
-        self.end(now, conn, EndReason::Unreadable);
     }
 
     /// A message has begun on a connection, or what had begun is whole.
@@ -328,8 +333,8 @@
 
     /// Nothing more is read from a connection that ends: all that was read from it has been taken in.
     pub fn reading_stopped(&mut self, conn: ConnId) {
-        if let Some(c) = self.conns.get_mut(&conn) {
-            c.reading_stopped = true;
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if !std::mem::replace(&mut c.reading_stopped, true) {
             self.end_if_answered(conn);
         }
     }
@@ -341,7 +346,11 @@
         c.ending = true;
         self.out.push(CallerOutput::Ending(conn, reason));
         self.out.push(CallerOutput::Wake(now + ENDING, CallerDue::Ending(conn)));
-        if !c.reading_stopped {
+        let first_may_come = !c.used_for_calls && now - c.born < YOUNG;
+        if !c.reading_stopped && first_may_come {
+            // It came up, so that its caller sends: what it sends is answered rather than left unread.
+            self.out.push(CallerOutput::Wake(c.born + YOUNG, CallerDue::StopReading(conn)));
+        } else if !c.reading_stopped {
             self.out.push(CallerOutput::StopReading(conn));
         }
         let open = self.open_on(conn);
@@ -386,6 +395,11 @@
                     self.out.push(CallerOutput::Cut(conn));
                 }
             }
+            CallerDue::StopReading(conn) => {
+                if self.conns.get(&conn).is_some_and(|c| !c.reading_stopped) {
+                    self.out.push(CallerOutput::StopReading(conn));
+                }
+            }
             CallerDue::Unheard(sid) => match self.releases.get(&sid) {
                 Some(r) if now >= r.until => drop(self.releases.remove(&sid)),
                 Some(_) => {
--- a/src/protocol/exchanges.rs
+++ b/src/protocol/exchanges.rs
@@ -474,8 +474,8 @@
         }
         // An end in order with calls standing may be a process that stops.
         link.doubt |= was_up && how == Closing::Ended;
-        // Guards this task against a peer that ends each connection as soon as it is made.
-        if was_up && link.heard.is_some() {
+        // Guards this task and the peer against one that ends each connection as soon as it is made.
+        if was_up && !early {
             self.connect(now, office);
         } else {
             let standing = |l: &Leg| l.office == office && matches!(l.stage, Stage::Standing(_));
@@ -675,7 +675,10 @@
         let Some(&office) = self.conns.get(&conn) else { return };
         let load = message.load();
         if let Some(link) = self.links.get_mut(&office) {
-            (link.settled, link.retry) = (true, RETRY.0);
+            link.settled = true;
+            if link.came_up.is_none_or(|at| now - at >= SETTLING) {
+                link.retry = RETRY.0;
+            }
             let gap = link.heard.map_or(link.gap, |at| (now - at).min(SILENT.2) as f64);
             link.gap += GAP_SMOOTH * (gap - link.gap);
             (link.heard, link.tested) = (Some(now), None);
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -501,7 +501,9 @@
                     }
                     CallerOutput::StopReading(conn) => self.callers.reading_stopped(conn),
                     CallerOutput::Ending(conn, _) => {
-                        assert!(!self.conns[&conn].ended, "said before its end");
+                        let c = self.conns.get_mut(&conn).unwrap();
+                        assert!(!c.ending && !c.ended, "said once, before its end");
+                        c.ending = true;
                     }
                     CallerOutput::End(conn) => {
                         assert_eq!(self.open_on(conn), 0, "every set-up taken is answered first");
@@ -740,6 +742,36 @@
     assert_eq!(callers.take_outputs(), [CallerOutput::End(conn)]);
 }
 
+#[test]
+fn a_connection_beyond_the_limit_has_its_first_set_up_answered() {
+    let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()], 1);
+    callers.opened(0, ConnId(0));
+    assert!(matches!(set_up(&mut callers, 0, ConnId(0), 6), Ask::Offer(..)));
+    callers.taken(ConnId(0), Sid(6), None, CallId(1));
+    // Every connection is needed, so that this one has to go.
+    callers.opened(10 * MS, ConnId(1));
+    assert!(!callers.take_outputs().contains(&CallerOutput::StopReading(ConnId(1))));
+    assert_eq!(set_up(&mut callers, 12 * MS, ConnId(1), 7), Ask::Nothing);
+    let refusal = CallerOutput::Tell(ConnId(1), Message::close(Sid(7), 42));
+    assert!(callers.take_outputs().contains(&refusal));
+    callers.due(110 * MS, CallerDue::StopReading(ConnId(1)));
+    assert_eq!(callers.take_outputs(), [CallerOutput::StopReading(ConnId(1))]);
+}
+
+#[test]
+fn an_exchange_that_ends_each_connection_at_once_is_tried_at_growing_waits() {
+    let mut m = LinkModel::new();
+    let mut tries = 0;
+    let end = m.now + 10_000 * MS;
+    while m.now < end {
+        m.reconnect();
+        m.hear();
+        m.step(LinkStep::Down(Closing::Ended));
+        tries += 1;
+    }
+    assert!(tries < 25, "{tries} connections in 10 s");
+}
+
 #[test]
 fn a_call_that_is_released_on_a_connection_which_ends_is_released() {
     let (mut callers, conn) = front_with_connection();
