--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -1,8 +1,8 @@
 //! Counters of what the program takes in, sends and answers.
 
 use crate::protocol::callers::CallerCounts;
-use crate::protocol::exchanges::LinkCounts;
 use crate::protocol::mgcp::agent::AgentCounts;
+use crate::protocol::upstream::UpstreamCounts;
 use crate::routing::ledger::Tally;
 
 /// What the task that owns routing counts itself.
@@ -41,7 +41,7 @@
 }
 
 /// All counters as names and values, in a fixed order.
-pub fn table(w: &WireCounts, t: &Tally, c: &CallerCounts, l: &LinkCounts) -> Vec<(String, u64)> {
+pub fn table(w: &WireCounts, t: &Tally, c: &CallerCounts, l: &UpstreamCounts) -> Vec<(String, u64)> {
     let mut out: Vec<(String, u64)> = [
         ("calls.offered", t.offered),
         ("calls.stood", t.stood),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -10,11 +10,11 @@
 use super::telemetry::ExportCounts;
 use crate::planted::{planted, Planted};
 use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
-use crate::protocol::exchanges::{LinkDue, LinkOutput, Links};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{Place, Roster};
 use crate::protocol::mgcp::agent::{Agent, AgentDue, AgentOutput};
 use crate::protocol::otlp::{CallSpan, Snapshot};
+use crate::protocol::upstream::{UpstreamConnections, UpstreamOutput, UpstreamTimer};
 use crate::protocol::ConnId;
 use crate::routing::deadlines::Deadlines;
 use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
@@ -51,7 +51,7 @@
     /// The ledger's.
     Ledger(LedgerDue),
     /// The links'.
-    Link(LinkDue),
+    Link(UpstreamTimer),
     /// The callers'.
     Caller(CallerDue),
     /// The call agent's.
@@ -116,7 +116,7 @@
 pub struct Switchboard {
     ledger: Ledger,
     callers: Callers,
-    links: Links,
+    links: UpstreamConnections,
     agent: Option<Agent>,
     appliance: Option<Appliance>,
     gossip: Option<Gossip>,
@@ -156,7 +156,7 @@
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
             callers: Callers::new(now, LINES, config.classes.clone(), config.usual_callers()),
-            links: Links::new(now, config.connect_timeout, config.settings.own),
+            links: UpstreamConnections::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
             appliance,
             gossip: config.gossip.as_ref().map(|g| Gossip::new(now, g, config.seed)),
@@ -588,53 +588,53 @@
         }
     }
 
-    fn link_output(&mut self, now: Micros, output: LinkOutput) {
+    fn link_output(&mut self, now: Micros, output: UpstreamOutput) {
         match output {
-            LinkOutput::Connect(conn, Place { address, member }) => {
+            UpstreamOutput::Connect(conn, Place { address, member }) => {
                 tracing::debug!(target: CONNECTIONS, conn = conn.0, %member, %address, "connecting");
                 let outbox = Outbox::default();
                 self.outboxes.insert((Side::Exchanges, conn), outbox.clone());
                 self.tasks.push(Task::Connect(conn, address, outbox));
             }
-            LinkOutput::Send { conn, message, set_up } => {
+            UpstreamOutput::Send { conn, message, set_up } => {
                 self.send(Side::Exchanges, conn, set_up, &message);
             }
-            LinkOutput::TakeBack { conn, call, message } => {
+            UpstreamOutput::TakeBack { conn, call, message } => {
                 let outbox = self.outboxes.get(&(Side::Exchanges, conn));
                 if !outbox.is_some_and(|o| o.take_back(call)) {
                     self.send(Side::Exchanges, conn, None, &message);
                 }
             }
-            LinkOutput::Unsend { conn, call, attempt } => {
+            UpstreamOutput::Unsend { conn, call, attempt } => {
                 let outbox = self.outboxes.get(&(Side::Exchanges, conn));
                 if outbox.is_some_and(|o| o.take_back(call)) {
                     self.links.unsent(call, attempt);
                 }
             }
-            LinkOutput::HangUp(conn, why) => {
-                tracing::debug!(target: CONNECTIONS, conn = conn.0, "exchange's connection ended: {why:?}");
+            UpstreamOutput::HangUp(conn, why) => {
+                tracing::debug!(target: CONNECTIONS, conn = conn.0, "exchange's connection ended: {why}");
                 if let Some(outbox) = self.outboxes.get(&(Side::Exchanges, conn)) {
                     outbox.cut();
                 }
             }
-            LinkOutput::Wake(at, due) => self.deadlines.add(at, Due::Link(due)),
-            LinkOutput::Answered(call, attempt, text) => {
+            UpstreamOutput::Wake(at, due) => self.deadlines.add(at, Due::Link(due)),
+            UpstreamOutput::Answered(call, attempt, text) => {
                 if !self.ledger.answered(now, call, attempt, text) {
                     self.links.clear(now, call, attempt);
                 }
             }
-            LinkOutput::Ended(call, attempt, how, load) => {
+            UpstreamOutput::Ended(call, attempt, how, load) => {
                 self.ledger.ended(now, call, attempt, how, load);
             }
-            LinkOutput::Group(office, load) => self.ledger.group(now, office, load),
-            LinkOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
-            LinkOutput::GaveUp(member, why) => {
+            UpstreamOutput::Group(office, load) => self.ledger.group(now, office, load),
+            UpstreamOutput::ProbeFailed(office) => self.ledger.probe_failed(now, office),
+            UpstreamOutput::GaveUp(member, why) => {
                 tracing::info!(%member, "exchange {member}: connection given up: {why}");
             }
-            LinkOutput::LeaseOver(member, calls) => {
+            UpstreamOutput::LeaseOver(member, calls) => {
                 tracing::info!(%member, calls, "exchange {member}: nothing heard for too long, {calls} calls cut");
             }
-            LinkOutput::Earlier(sid, code) => self.callers.release_earlier(now, sid, code),
+            UpstreamOutput::Earlier(sid, code) => self.callers.release_earlier(now, sid, code),
         }
     }
 
--- a/src/program/views.rs
+++ b/src/program/views.rs
@@ -4,8 +4,8 @@
 use super::config::Config;
 use super::gossip::Gossip;
 use super::switchboard::GATEWAYS;
-use crate::protocol::exchanges::Links;
 use crate::protocol::mgcp::agent::Agent;
+use crate::protocol::upstream::UpstreamConnections;
 use crate::routing::interface::{ExchangeNo, ListState, Micros, OfficeId};
 use crate::routing::ledger::{CallView, Ledger};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,7 +26,7 @@
     /// The calls.
     pub ledger: &'a Ledger,
     /// The connections toward exchanges.
-    pub links: &'a Links,
+    pub links: &'a UpstreamConnections,
     /// The gateways.
     pub agent: Option<&'a Agent>,
     /// Gossip.
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,7 +2,6 @@
 //! messages come out.
 
 pub mod callers;
-pub mod exchanges;
 pub mod json_lines;
 pub mod membership;
 pub mod mgcp;
@@ -10,7 +9,7 @@
 pub mod server_events;
 pub mod simulator;
 pub mod text_settings;
-pub mod upstream_lease;
+pub mod upstream;
 
 /// Names one connection of this program, for as long as the program runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -12,9 +12,9 @@
 pub mod signals;
 pub mod streams;
 
-use crate::protocol::exchanges::Closing;
 use crate::protocol::json_lines::{LineError, Message};
 use crate::protocol::server_events::ServerEvent;
+use crate::protocol::upstream::Closing;
 use crate::protocol::ConnId;
 use outbox::Outbox;
 use std::net::SocketAddr;
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -3,8 +3,8 @@
 use super::outbox::Outbox;
 use super::{ConnNews, Inbound, Side};
 use crate::planted::{planted, Planted};
-use crate::protocol::exchanges::Closing;
 use crate::protocol::json_lines::{LineSplitter, Message};
+use crate::protocol::upstream::Closing;
 use crate::protocol::ConnId;
 use async_channel::{Receiver, SendError, Sender};
 use async_executor::LocalExecutor;
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -4,9 +4,9 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
 use walnuthatch::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
-use walnuthatch::protocol::exchanges::{Closing, LinkDue, LinkOutput, Links};
 use walnuthatch::protocol::json_lines::{Kind, LineError, LineSplitter, Message, Sid, LONGEST};
 use walnuthatch::protocol::membership::Place;
+use walnuthatch::protocol::upstream::{Closing, UpstreamConnections, UpstreamOutput, UpstreamTimer};
 use walnuthatch::protocol::ConnId;
 use walnuthatch::routing::deadlines::Deadlines;
 use walnuthatch::routing::interface::*;
@@ -89,9 +89,9 @@
 }
 
 struct LinkModel {
-    links: Links,
+    links: UpstreamConnections,
     now: Micros,
-    due: Deadlines<LinkDue>,
+    due: Deadlines<UpstreamTimer>,
     /// The one connection there may be, and whether it is up.
     conn: Option<(ConnId, bool)>,
     /// Since when a message has been half there.
@@ -120,11 +120,11 @@
     fn settle(&mut self) {
         for output in self.links.take_outputs() {
             match output {
-                LinkOutput::Connect(conn, _) => {
+                UpstreamOutput::Connect(conn, _) => {
                     assert_eq!(self.conn, None, "one connection to an exchange");
                     (self.conn, self.half) = (Some((conn, false)), None);
                 }
-                LinkOutput::Send { conn, message, set_up } => {
+                UpstreamOutput::Send { conn, message, set_up } => {
                     if !self.legs.iter().any(|l| matches!(l, Leg::Out | Leg::Standing)) {
                         self.heard = self.now;
                     }
@@ -137,30 +137,30 @@
                         *leg = Leg::Out;
                     }
                 }
-                LinkOutput::Unsend { call, .. } => {
+                UpstreamOutput::Unsend { call, .. } => {
                     assert_ne!(self.state, ListState::Ready);
                     assert_eq!(self.legs[call.0 as usize], Leg::Out);
                 }
-                LinkOutput::TakeBack { call, .. } => assert_eq!(self.legs[call.0 as usize], Leg::Cleared),
-                LinkOutput::HangUp(conn, _) => {
+                UpstreamOutput::TakeBack { call, .. } => assert_eq!(self.legs[call.0 as usize], Leg::Cleared),
+                UpstreamOutput::HangUp(conn, _) => {
                     assert_eq!(self.conn.map(|c| c.0), Some(conn));
                     self.conn = None;
                 }
-                LinkOutput::Wake(at, due) => self.due.add(at, due),
-                LinkOutput::Answered(call, ..) => {
+                UpstreamOutput::Wake(at, due) => self.due.add(at, due),
+                UpstreamOutput::Answered(call, ..) => {
                     assert_eq!(self.legs[call.0 as usize], Leg::Out);
                     self.legs[call.0 as usize] = Leg::Standing;
                 }
-                LinkOutput::Ended(call, ..) => {
+                UpstreamOutput::Ended(call, ..) => {
                     let leg = &mut self.legs[call.0 as usize];
                     assert!(matches!(*leg, Leg::Waiting | Leg::Out | Leg::Standing), "one end: {leg:?}");
                     *leg = Leg::Over;
                 }
-                LinkOutput::Earlier(sid, _) => panic!("{sid} is of this life"),
-                LinkOutput::Group(..)
-                | LinkOutput::ProbeFailed(_)
-                | LinkOutput::GaveUp(..)
-                | LinkOutput::LeaseOver(..) => {}
+                UpstreamOutput::Earlier(sid, _) => panic!("{sid} is of this life"),
+                UpstreamOutput::Group(..)
+                | UpstreamOutput::ProbeFailed(_)
+                | UpstreamOutput::GaveUp(..)
+                | UpstreamOutput::LeaseOver(..) => {}
             }
         }
     }
@@ -266,7 +266,7 @@
 
 impl LinkModel {
     fn new() -> LinkModel {
-        let links = Links::new(0, 500 * MS, Some(ExchangeNo(0)));
+        let links = UpstreamConnections::new(0, 500 * MS, Some(ExchangeNo(0)));
         let (due, conn, half, legs) = Default::default();
         let mut m = LinkModel {
             links,
