--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -40,6 +40,9 @@
         /// Trials side by side
         #[arg(long, default_value_t = 2)]
         jobs: usize,
+        /// Tells rows of trials apart that run at the same time (0 to 20)
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u8).range(0..=20))]
+        row: u8,
         /// The table as JSON
         #[arg(long)]
         json: bool,
@@ -93,7 +96,7 @@
         folder: arguments.folder.clone(),
     };
     match &arguments.order {
-        Order::Run { first, seeds, jobs, json } => tried.run(*first, *seeds, *jobs, *json),
+        Order::Run { first, seeds, jobs, row, json } => tried.run((*first, *seeds), *jobs, *row, *json),
         Order::Replay { seed } => tried.replay(&schedule(*seed)),
         Order::Show { seed, call } => tried.show(*seed, call.as_deref()).map(|()| true),
         Order::Shrink { seed } => tried.shrink(*seed),
@@ -127,7 +130,7 @@
     }
 
     /// Plays each seed in a process of its own, so many at a time.
-    fn run(&self, first: u64, seeds: u64, jobs: usize, json: bool) -> Result<bool, TrialError> {
+    fn run(&self, (first, seeds): (u64, u64), jobs: usize, row: u8, json: bool) -> Result<bool, TrialError> {
         if !(1..=8).contains(&jobs) {
             return Err(TrialError::Jobs(jobs));
         }
@@ -135,7 +138,7 @@
         let mut waiting = first..first + seeds;
         let mut playing = BTreeMap::new();
         loop {
-            for job in 1..=jobs as u8 {
+            for job in (1..=jobs as u8).map(|job| row * 10 + job) {
                 if let std::collections::btree_map::Entry::Vacant(free) = playing.entry(job) {
                     let Some(seed) = waiting.next() else { break };
                     free.insert((seed, self.spawn(seed, job)?));
