Keep the quiet period for a request that comes again on a new connection

Cause: the quiet period belonged to the call, and the same request under a new call began without it. Class: a rule tied to the object at hand in place of the name that the rule is about. Now names given up within the last quiet period are remembered, and such a request is held until it has passed.

--- a/examples/gossip_tables.rs
+++ b/examples/gossip_tables.rs
@@ -341,6 +341,7 @@
             patience: 3_000_000,
             class: 0,
             via: None,
+            not_before: 0,
         };
         self.sites[i].ledger.offer(self.now, Offer { front: FrontId(0), ask, description: None });
         self.follow(i);
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -155,7 +155,8 @@
             .map(|a| Appliance::new(Now::new(now, now), a, s.own, s.drain_grace, saved, log));
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
-            callers: Callers::new(now, LINES, config.classes.clone(), config.usual_callers()),
+            callers: Callers::new(now, LINES, config.classes.clone(), config.usual_callers())
+                .with_quiet_period(s.release + s.tick),
             links: UpstreamConnections::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
             appliance,
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -4,6 +4,7 @@
 //! A connection is either in service or ending. One that ends takes nothing more in; its open set-ups are failed,
 //! and once they are answered it is closed. It ends for a fault of its own, or for saying nothing for too long.
 
+use super::client_given_up::GivenUp;
 use super::json_lines::{cause, figures, EarlierLife, Kind, Message, Sid};
 use super::ConnId;
 use crate::planted::{planted, Planted};
@@ -186,6 +187,8 @@
     calls: HashMap<CallId, Held>,
     releases: BTreeMap<Sid, Release>,
     earlier: EarlierLife,
+    /// Requests given up of late.
+    given_up: GivenUp,
     /// Connections with nothing left on them are ended.
     draining: bool,
     out: Vec<CallerOutput>,
@@ -204,12 +207,18 @@
             calls: HashMap::new(),
             releases: BTreeMap::new(),
             earlier: EarlierLife::new(now),
+            given_up: GivenUp::default(),
             draining: false,
             out: Vec::new(),
             counts: CallerCounts::default(),
         }
     }
 
+    /// The same, where an attempt that ended uncertainly is followed by no other of its request for so long (µs).
+    pub fn with_quiet_period(self, quiet: Micros) -> Self {
+        Callers { given_up: GivenUp::new(quiet), ..self }
+    }
+
     /// What is to be done, in order.
     pub fn take_outputs(&mut self) -> Vec<CallerOutput> {
         std::mem::take(&mut self.out)
@@ -267,7 +276,9 @@
         let again: Vec<Sid> = self.releases.iter().filter(|(_, r)| crossed(r)).map(|(&s, _)| s).collect();
         again.into_iter().for_each(|sid| self.send_release(now, sid, None));
         let lost = self.open_on(conn);
-        lost.iter().for_each(|&c| drop(self.remove(c)));
+        for &call in &lost {
+            self.give_up(now, call);
+        }
         self.end_drained(now);
         lost
     }
@@ -434,7 +445,7 @@
             }
             (Kind::Close, Some(sid)) => match self.by_sid.get(&sid).copied() {
                 Some(call) if self.may_release(conn, call) => {
-                    self.remove(call);
+                    self.give_up(now, call);
                     Ask::Left(call)
                 }
                 None if self.earlier.has(now, sid) => Ask::LeftEarlier(sid),
@@ -475,7 +486,8 @@
             self.turn_away(now, conn, Message::close(sid, cause::CONGESTION));
             return Ask::Nothing;
         }
-        match self.offer(&message) {
+        let not_before = self.given_up.not_before(now, sid);
+        match self.offer(&message, not_before) {
             Some(offer) => Ask::Offer(sid, message.attrs.get("key").cloned(), Box::new(offer)),
             None => {
                 // A class or a figure that nothing can be made of: failed, not refused, since trying the
@@ -487,7 +499,7 @@
         }
     }
 
-    fn offer(&self, message: &Message) -> Option<Offer> {
+    fn offer(&self, message: &Message, not_before: Micros) -> Option<Offer> {
         let class = message.field("class")?;
         let class = self.classes.iter().position(|c| *c == class)?;
         let patience = message.millis("left").filter(|&p| p <= PATIENCE)?;
@@ -516,6 +528,7 @@
             patience,
             class,
             via: via.map(ExchangeNo),
+            not_before,
         };
         Some(Offer { front: self.front, ask, description: message.text.clone() })
     }
@@ -638,6 +651,13 @@
         }
     }
 
+    /// Its caller gave a call up, or released it.
+    fn give_up(&mut self, now: Micros, call: CallId) {
+        if let Some(held) = self.remove(call).filter(|h| !h.answered) {
+            self.given_up.note(now, held.sid);
+        }
+    }
+
     /// The one place where a call is given back.
     fn remove(&mut self, call: CallId) -> Option<Held> {
         let held = self.calls.remove(&call)?;
--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -588,6 +588,7 @@
                     patience: (until - now).max(0),
                     class: self.config.class,
                     via: None,
+                    not_before: 0,
                 };
                 let offer = Offer { front: self.front, ask, description: text };
                 self.out.push(AgentOutput::Offer(p, Box::new(offer)));
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //! messages come out.
 
 pub mod callers;
+pub mod client_given_up;
 pub mod json_lines;
 pub mod membership;
 pub mod mgcp;
--- a/src/protocol/simulator.rs
+++ b/src/protocol/simulator.rs
@@ -335,6 +335,7 @@
         patience,
         class,
         via: exchange(via),
+        not_before: 0,
     })
 }
 
--- a/src/routing/control/holding.rs
+++ b/src/routing/control/holding.rs
@@ -28,11 +28,13 @@
         }
         let deadline = now.saturating_add(ask.patience.max(0));
         let until = (arrived + (HOLD_SHARE * self.aim(&ask) as f64) as Micros).min(deadline - ANSWER_EARLY);
-        let stage = Stage::Held { from: now, until };
+        let from = now.max(ask.not_before);
+        let stage = Stage::Held { from, until };
         if let Some(&i) = ask.via.filter(|_| !ask.transit).and_then(|t| self.by_exchange.get(&t)) {
             self.note_open(now, ask.destination, i);
         }
-        let call = Call { ask, arrived, deadline, stage, tries: 0, tried: Vec::new(), ran: false };
+        let ran = from > now;
+        let call = Call { ask, arrived, deadline, stage, tries: 0, tried: Vec::new(), ran };
         self.calls.insert(id, call);
         self.try_call(now, id, out);
     }
@@ -42,7 +44,9 @@
         let Some(call) = self.calls.get(&id).cloned() else { return };
         let Stage::Held { from, until } = call.stage else { return };
         let spent = self.settings.try_limit > 0 && call.tries >= self.settings.try_limit;
-        let route = if now < from {
+        let route = if now < from && from >= until {
+            Route::Closed
+        } else if now < from {
             Route::Blocked
         } else if spent || (call.ran && self.guarded(&call)) || now >= call.deadline - self.settings.tick {
             Route::Closed
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -236,6 +236,8 @@
     pub class: usize,
     /// Advised tandem; for a call in transit, where it comes from.
     pub via: Option<ExchangeNo>,
+    /// No attempt before this time: an earlier one, of the same request, may have run.
+    pub not_before: Micros,
 }
 
 /// What operators took out of service, in whole. Offices and groups are told as draining and as full besides; this
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -317,7 +317,7 @@
             deadline,
             stage: Stage::Deciding,
             attempts: 0,
-            quiet_until: 0,
+            quiet_until: ask.not_before,
             last: None,
             leg: None,
         };
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -816,6 +816,23 @@
     quiet: Micros,
 }
 
+/// A call to that exchange whose caller waits for so long.
+fn new_call(to: u16, patience: Micros) -> NewCall {
+    NewCall {
+        call: CallId(0),
+        destination: ExchangeNo(to),
+        transit: false,
+        redialled: false,
+        cut_before: false,
+        number: None,
+        width: 1,
+        patience,
+        class: 0,
+        via: None,
+        not_before: 0,
+    }
+}
+
 struct Book {
     ledger: Ledger,
     now: Micros,
@@ -871,18 +888,7 @@
         let now = self.now;
         match step {
             Step::Offer(to, patience) => {
-                let ask = NewCall {
-                    call: CallId(0),
-                    destination: ExchangeNo(to),
-                    transit: false,
-                    redialled: false,
-                    cut_before: false,
-                    number: None,
-                    width: 1,
-                    patience,
-                    class: 0,
-                    via: None,
-                };
+                let ask = new_call(to, patience);
                 let call = self.ledger.offer(now, Offer { front: FrontId(0), ask, description: None });
                 let (deadline, out, stands, quiet) = (now + patience, None, false, 0);
                 self.calls.insert(call, Held { deadline, out, stands, quiet });
@@ -983,6 +989,36 @@
     assert_eq!(settled(&mut book, 12 * MS), (1, 1), "and answered before it");
 }
 
+#[test]
+fn a_request_that_comes_again_is_not_attempted_before_its_quiet_period() {
+    let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()], 6).with_quiet_period(505 * MS);
+    let not_before = |ask: Ask| match ask {
+        Ask::Offer(_, _, offer) => offer.ask.not_before,
+        other => panic!("{other:?}"),
+    };
+    callers.opened(0, ConnId(0));
+    assert_eq!(not_before(set_up(&mut callers, 0, ConnId(0), 7)), 0);
+    callers.taken(ConnId(0), Sid(7), None, CallId(1));
+    assert_eq!(callers.closed(10 * MS, ConnId(0)), [CallId(1)]);
+    callers.opened(11 * MS, ConnId(1));
+    assert_eq!(not_before(set_up(&mut callers, 12 * MS, ConnId(1), 7)), 515 * MS);
+    assert_eq!(not_before(set_up(&mut callers, 12 * MS, ConnId(1), 8)), 0);
+    // The module holds it, and the ledger would hold it back.
+    let mut book = book();
+    let start = book.now;
+    let ask = NewCall { not_before: start + 400 * MS, ..new_call(1, 3_000 * MS) };
+    let call = book.ledger.offer(start, Offer { front: FrontId(0), ask, description: None });
+    book.calls.insert(
+        call,
+        Held { deadline: start + 3_000 * MS, out: None, stands: false, quiet: start + 400 * MS },
+    );
+    book.settle();
+    book.step(Step::Pass(390 * MS));
+    assert_eq!(book.ledger.tally().attempts, 0);
+    book.step(Step::Pass(60 * MS));
+    assert_eq!((book.ledger.tally().attempts, book.ledger.tally().held_back.len()), (1, 0));
+}
+
 #[test]
 fn the_ledger_keeps_the_rules_whatever_comes() {
     let endings = prop::sample::select(vec![
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -70,6 +70,7 @@
         patience: 3 * S,
         class: 0,
         via: None,
+        not_before: 0,
     }
 }
 
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -20,6 +20,7 @@
         patience,
         class: 0,
         via: None,
+        not_before: 0,
     };
     Offer { front: FrontId(0), ask, description: None }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -204,6 +204,25 @@
     assert_eq!(c.about(&sid(91))["msg"], "ready");
 }
 
+#[test]
+fn a_request_that_comes_again_on_a_new_connection_keeps_the_quiet_period() {
+    let l = listener();
+    let (_p, callers, mut x) = start(&[&l], json!({}));
+    let mut c = Line::to(callers);
+    c.say(open(&sid(95), 1, 9000));
+    assert_eq!(x[0].about(&sid(95))["msg"], "open");
+    // Its connection is lost under it, and it is sent again at once.
+    drop(c);
+    let mut d = Line::to(callers);
+    d.say(open(&sid(95), 1, 9000));
+    assert_eq!(x[0].about(&sid(95))["code"], 16);
+    let before = Instant::now();
+    assert_eq!(x[0].about(&sid(95))["msg"], "open");
+    assert!(before.elapsed() >= Duration::from_millis(490), "{:?}", before.elapsed());
+    x[0].say(json!({"msg": "ready", "sid": sid(95), "attrs": {}, "text": TEXT}));
+    assert_eq!(d.about(&sid(95))["msg"], "ready");
+}
+
 #[test]
 fn no_connection_owns_a_call_that_stands() {
     let l = listener();
--- a/tests/withdrawals.rs
+++ b/tests/withdrawals.rs
@@ -65,6 +65,7 @@
         patience: 3_000_000,
         class: 0,
         via: None,
+        not_before: 0,
     };
     let call = l.offer(now, Offer { front: FrontId(0), ask, description: None });
     (call, l.take_outputs())
