--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -388,14 +388,18 @@
         }
     }
 
-    /// Once nothing is left to serve, no caller's connection need come up any more.
-    fn close_door(&mut self, now: Micros) {
-        let Some(phase) = self.stopping.as_ref().map(|s| s.shutdown.phase(now)) else { return };
-        let done = phase >= Phase::Closing || self.callers.connections() == 0 && self.served(phase);
-        if let Some(stop) = self.stopping.as_mut().filter(|s| done && s.door == DoorState::Open) {
-            stop.door = DoorState::Closing;
-            self.tasks.push(Task::StopListening);
-        }
+    /// Once nothing is left to serve, no caller's connection need come up or stay any more. Whether that is so since
+    /// now. Guards the end of the program against callers that connect again whenever their connection is closed.
+    fn close_door(&mut self, now: Micros) -> bool {
+        let Some(phase) = self.stopping.as_ref().map(|s| s.shutdown.phase(now)) else { return false };
+        let done = phase >= Phase::Closing || self.served(phase);
+        let Some(stop) = self.stopping.as_mut().filter(|s| done && s.door == DoorState::Open) else {
+            return false;
+        };
+        stop.door = DoorState::Closing;
+        self.tasks.push(Task::StopListening);
+        self.callers.end_all(now);
+        true
     }
 
     fn conn(&mut self, now: Micros, side: Side, conn: ConnId, news: ConnNews) {
@@ -529,7 +533,10 @@
                 && orders.is_empty()
                 && !gossiped
             {
-                return self.close_door(now);
+                if self.close_door(now) {
+                    continue;
+                }
+                return;
             }
             for output in orders {
                 self.appliance_output(now, output);
--- a/tests/incident_75a3cb.rs
+++ b/tests/incident_75a3cb.rs
@@ -135,6 +135,28 @@
     left
 }
 
+#[test]
+fn a_stop_ends_soon_with_nothing_left_though_clients_connect_again_and_again() {
+    let l = listener();
+    let (mut program, callers, _x) = start(&[&l], json!({}));
+    let mut again: Vec<Line> = (0..5).map(|_| Line::to(callers)).collect();
+    program.signal("TERM");
+    let asked = Instant::now();
+    let ended = until("the program ends", || {
+        for line in &mut again {
+            line.stream.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
+            if line.ended() {
+                if let Ok(stream) = std::net::TcpStream::connect(callers) {
+                    *line = Line::on(stream);
+                }
+            }
+        }
+        program.child.try_wait().unwrap()
+    });
+    assert!(ended.success());
+    assert!(asked.elapsed() < Duration::from_secs(3), "{:?}", asked.elapsed());
+}
+
 #[test]
 fn requests_that_come_up_to_the_kill_are_answered_while_the_exchange_hangs() {
     let l = listener();
