--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -8,7 +8,6 @@
 use super::gossip::Gossip;
 use super::log::{self, CALLS, CONNECTIONS};
 use super::telemetry::ExportCounts;
-use crate::planted::{planted, Planted};
 use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{Place, Roster};
@@ -19,7 +18,6 @@
 use crate::routing::deadlines::Deadlines;
 use crate::routing::interface::{CallId, ListEntry, ListNews, LoadReport, Micros, PeerNo};
 use crate::routing::ledger::{AnswerReason, FrontId, Ledger, LedgerDue, Output};
-use crate::routing::shutdown::{Phase, Shutdown};
 use crate::transport::outbox::Outbox;
 use crate::transport::saver::Saving;
 use crate::transport::{ConnNews, Inbound, Side};
@@ -33,6 +31,9 @@
 mod exports;
 mod gossip;
 mod operators;
+mod stop;
+
+use stop::{ListenerState, Stop};
 
 /// The platform's front.
 pub const LINES: FrontId = FrontId(0);
@@ -93,24 +94,6 @@
     StopListening,
 }
 
-/// A stop under way.
-#[derive(Debug)]
-struct Stop {
-    shutdown: Shutdown,
-    /// What is left of the callers' side.
-    door: DoorState,
-}
-
-/// How far the callers' side is closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum DoorState {
-    Open,
-    /// Asked to listen no more.
-    Closing,
-    /// No connection comes up any more.
-    Closed,
-}
-
 /// The state of the task that owns routing.
 #[derive(Debug)]
 pub struct Switchboard {
@@ -238,7 +221,7 @@
             Inbound::Stop => self.stop(now),
             Inbound::NotListening => {
                 if let Some(stop) = &mut self.stopping {
-                    stop.door = DoorState::Closed;
+                    stop.listener = ListenerState::Closed;
                 }
             }
             // Whoever runs the switchboard reads the files: see `Switchboard::reload`.
@@ -306,20 +289,6 @@
         std::mem::take(&mut self.tasks)
     }
 
-    /// Whether the program was asked to stop and has answered all that it took.
-    pub fn finished(&self, now: Micros) -> bool {
-        let Some(stop) = &self.stopping else { return false };
-        let phase = stop.shutdown.phase(now);
-        let closed = stop.door == DoorState::Closed && self.callers.connections() == 0;
-        phase == Phase::Over || closed && self.served(phase)
-    }
-
-    /// Whether a stop in this phase has nothing to wait for but connections.
-    fn served(&self, phase: Phase) -> bool {
-        let stood = self.ledger.standing_calls() == 0 && !self.callers.owes_releases();
-        phase >= Phase::Draining && self.ledger.open_calls() == 0 && (stood || phase >= Phase::Closing)
-    }
-
     /// Ends every connection once what waits on it has been sent.
     pub fn close_all(&self) {
         self.outboxes.values().for_each(Outbox::close);
@@ -351,57 +320,6 @@
 
     // ---- News ----
 
-    /// Asks for a stop: calls are taken for a while yet, and all that was taken is answered.
-    pub fn stop(&mut self, now: Micros) {
-        if self.stopping.is_none() {
-            let longest = self.config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
-            let shutdown = Shutdown::new(now, longest);
-            self.stopping = Some(Stop { shutdown, door: DoorState::Open });
-            tracing::info!("stop asked for: {} calls open", self.ledger.open_calls());
-            if let Some(g) = &mut self.gossip {
-                g.leave(now);
-            }
-            for (at, _) in shutdown.begins() {
-                self.deadlines.add(at, Due::Stop);
-            }
-        }
-    }
-
-    /// Does what the present phase of a stop asks for.
-    fn advance_stop(&mut self, now: Micros) {
-        let Some(stop) = &self.stopping else { return };
-        let phase = stop.shutdown.phase(now);
-        let (open, standing) = (self.ledger.open_calls(), self.ledger.standing_calls());
-        tracing::info!("stop: {phase:?}; {open} calls open, {standing} stand");
-        if planted(Planted::RequestLeftAtStop) && phase < Phase::Over {
-            return;
-        }
-        if phase >= Phase::Draining {
-            self.ledger.close(self.config.settings.max_pause);
-            self.callers.drain(now);
-        }
-        if phase >= Phase::Answered {
-            self.ledger.fail_open(now);
-        }
-        if phase >= Phase::Closing {
-            self.callers.end_all(now);
-        }
-    }
-
-    /// Once nothing is left to serve, no caller's connection need come up or stay any more. Whether that is so since
-    /// now. Guards the end of the program against callers that connect again whenever their connection is closed.
-    fn close_door(&mut self, now: Micros) -> bool {
-        let Some(phase) = self.stopping.as_ref().map(|s| s.shutdown.phase(now)) else { return false };
-        let done = phase >= Phase::Closing || self.served(phase);
-        let Some(stop) = self.stopping.as_mut().filter(|s| done && s.door == DoorState::Open) else {
-            return false;
-        };
-        stop.door = DoorState::Closing;
-        self.tasks.push(Task::StopListening);
-        self.callers.end_all(now);
-        true
-    }
-
     fn conn(&mut self, now: Micros, side: Side, conn: ConnId, news: ConnNews) {
         match (side, news) {
             (Side::Callers, ConnNews::Accepted(outbox)) => self.accepted(now, conn, outbox),
@@ -533,7 +451,7 @@
                 && orders.is_empty()
                 && !gossiped
             {
-                if self.close_door(now) {
+                if self.stop_listening_if_served(now) {
                     continue;
                 }
                 return;
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -53,7 +53,7 @@
     inbox: Sender<Inbound>,
     stop: Receiver<()>,
 ) -> Result<(), SendError<Inbound>> {
-    let mut door = Door { next: 0, executor, inbox };
+    let mut acceptor = Acceptor { next: 0, executor, inbox };
     let places = Arc::new(Semaphore::new(most));
     let stopped = async {
         // Nobody can ask any more once the other end is gone.
@@ -67,28 +67,28 @@
             Some((listener.accept().await, place))
         };
         match future::or(&mut stopped, accepted).await {
-            Some((Ok((stream, _)), place)) => door.let_in(stream, Some(place)).await?,
+            Some((Ok((stream, _)), place)) => acceptor.accept(stream, Some(place)).await?,
             Some((Err(_), _)) => drop(Timer::after(ACCEPT_PAUSE).await),
             None => break,
         }
     }
     // What came up before the listener's end is served still: its callers were told that it came up.
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-        door.let_in(stream, places.try_acquire_arc()).await?;
+        acceptor.accept(stream, places.try_acquire_arc()).await?;
     }
     drop(listener);
-    door.inbox.send(Inbound::NotListening).await
+    acceptor.inbox.send(Inbound::NotListening).await
 }
 
 /// Numbers callers' connections and starts their tasks.
-struct Door {
+struct Acceptor {
     next: u64,
     executor: Rc<LocalExecutor<'static>>,
     inbox: Sender<Inbound>,
 }
 
-impl Door {
-    async fn let_in(
+impl Acceptor {
+    async fn accept(
         &mut self,
         stream: Async<TcpStream>,
         place: Option<SemaphoreGuardArc>,
