End the lease of calls that an earlier break left on a renewed one

Cause: generations that had been renewed once were taken to be the present process for good. Now a process has the generations that it was shown to have lived through, and a break ends all of them together; a test of the link shows it (one call stood on before).

--- a/crates/standin/src/faulty/client.rs
+++ b/crates/standin/src/faulty/client.rs
@@ -17,6 +17,8 @@
 const CROSSED: Duration = Duration::from_millis(50);
 /// An answer that comes so long after its time counts as none.
 const OVERDUE: Duration = Duration::from_millis(550);
+/// What waited while the way was cut has come by then.
+const AFTER_CUT: Duration = Duration::from_millis(300);
 /// Pause before a refused connection is tried again.
 const AGAIN: Duration = Duration::from_millis(30);
 /// A connection that carries no call is ended after this.
@@ -130,6 +132,11 @@
         self.over.set(true);
     }
 
+    /// Cuts its way to the controller, or opens it again.
+    pub fn cut(&self, cut: bool) {
+        self.network.cut(cut);
+    }
+
     /// Requests that wait for an answer.
     pub fn waiting(&self) -> usize {
         self.pending.borrow().len()
@@ -264,6 +271,11 @@
             }
             Timer::at(due).await;
         }
+        if self.network.is_cut() {
+            // The answer may be on its way.
+            self.network.until_open().await;
+            Timer::after(AFTER_CUT).await;
+        }
         if let Some(pending) = self.pending.borrow_mut().remove(&sid) {
             if !pending.given_up {
                 self.lab.recorder.note(What::Unanswered { sid: sid.clone() });
--- a/crates/standin/src/faulty/path.rs
+++ b/crates/standin/src/faulty/path.rs
@@ -33,6 +33,11 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Whether nothing passes.
+    pub fn is_cut(&self) -> bool {
+        self.cut.get()
+    }
+
     /// Waits until something passes.
     pub async fn until_open(&self) {
         loop {
--- a/crates/trials/src/schedule.rs
+++ b/crates/trials/src/schedule.rs
@@ -87,6 +87,8 @@
     Pieces { controller: usize, exchange: usize, delay: Millis, span: Millis },
     /// Its connections are reset.
     ResetPath { controller: usize, exchange: usize },
+    /// The way of one of a controller's clients is cut.
+    CutClient { controller: usize, client: usize, span: Millis },
     /// A bad client comes.
     Bad { controller: usize, misdeed: Misdeed },
     /// So many clients come at once.
@@ -197,6 +199,11 @@
         let crowd = Fault::Crowd { controller: draw.index(controllers), size: draw.within(60, 200) as usize };
         planned.push(Planned { at: draw.within(1_000, span - 4_000), fault: crowd });
     }
+    for _ in 0..draw.below(3) {
+        let (controller, client) = (draw.index(controllers), draw.index(4));
+        let cut = Fault::CutClient { controller, client, span: draw.within(300, 4_000) };
+        planned.push(Planned { at: draw.within(1_000, span - 4_000), fault: cut });
+    }
     planned.sort_by_key(|p| p.at);
     let (rate, give_up_early, hang_up) =
         (draw.within(5, 12), draw.pick(&[0, 0, 5, 20]), draw.pick(&[0, 0, 0, 1, 3]));
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -439,6 +439,13 @@
                 // The controller may well end its connection.
                 let _ = misbehave(self.lab.clone(), self.servers[controller].address, what).await;
             }
+            Fault::CutClient { controller, client, span } => {
+                let client = self.clients.borrow().get(controller * CLIENTS + client).cloned();
+                let Some(client) = client else { return };
+                client.cut(true);
+                sleep(span).await;
+                client.cut(false);
+            }
             Fault::Crowd { controller, size } => {
                 let all = crowd(&self.lab, &self.servers[controller], size);
                 self.clients.borrow_mut().extend(all);
--- a/src/protocol/upstream/lease.rs
+++ b/src/protocol/upstream/lease.rs
@@ -8,7 +8,6 @@
 //! it says of a call that it had before.
 
 use crate::routing::interface::Micros;
-use std::collections::BTreeMap;
 
 /// A lease lasts this long after the last proof of the process (µs). The caller must hear of the end within 8 s of
 /// it; what is left is for the proof's way here, a late timer and the release's way to a caller whose own connection
@@ -22,35 +21,38 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Generation(u64);
 
+/// Generations that one process was shown to have lived through, and when it was last heard of.
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    first: Generation,
+    last: Generation,
+    proven: Micros,
+}
+
 /// The leases of the calls that stand at one exchange.
 #[derive(Clone, Debug)]
 pub struct Leases {
-    /// The process that speaks now, and when it last did.
-    current: Generation,
-    proven: Micros,
+    /// The process that speaks now.
+    current: Process,
     /// The connection was lost since, and nothing has come on the next one.
     disconnected: bool,
-    /// Processes from before a break that have not been heard of since, and when they last were.
-    unproven: BTreeMap<Generation, Micros>,
-    /// Calls of earlier processes than this one may be over without a word, though their process is still there.
+    /// Processes from before a break that have not been heard of since, oldest first.
+    earlier: Vec<Process>,
+    /// Calls of earlier generations than this one may be over without a word, though their process is still there.
     untold_before: Generation,
 }
 
 impl Leases {
     /// No calls yet.
     pub fn new(now: Micros) -> Self {
-        Leases {
-            current: Generation::default(),
-            proven: now,
-            disconnected: false,
-            unproven: BTreeMap::new(),
-            untold_before: Generation::default(),
-        }
+        let first = Generation::default();
+        let current = Process { first, last: first, proven: now };
+        Leases { current, disconnected: false, earlier: Vec::new(), untold_before: first }
     }
 
     /// The process that has the calls which come to stand now.
     pub fn current(&self) -> Generation {
-        self.current
+        self.current.last
     }
 
     /// The connection is no more.
@@ -64,46 +66,45 @@
     pub fn lost_early(&mut self, now: Micros) {
         self.lost();
         self.break_off(now);
-        self.untold_before = self.current;
+        self.untold_before = self.current.first;
     }
 
+    /// What speaks from here on may be another process.
     fn break_off(&mut self, now: Micros) {
+        self.earlier.push(self.current);
         // Guards memory against an exchange that is out of reach for ever.
-        self.unproven.retain(|_, proven| now - *proven < 2 * LEASE);
-        self.unproven.insert(self.current, self.proven);
-        self.current = Generation(self.current.0 + 1);
+        self.earlier.retain(|process| now - process.proven < 2 * LEASE);
+        let next = Generation(self.current.last.0 + 1);
+        self.current = Process { first: next, last: next, proven: self.current.proven };
     }
 
     /// Something came on the present connection.
     pub fn heard(&mut self, now: Micros) {
-        if std::mem::take(&mut self.disconnected) && now - self.proven > UNBROKEN {
+        if std::mem::take(&mut self.disconnected) && now - self.current.proven > UNBROKEN {
             self.break_off(now);
         }
-        self.proven = now;
+        self.current.proven = now;
     }
 
     /// The process that speaks now said something of a call of that generation: it has been there since then.
     pub fn confirm(&mut self, generation: Generation) {
-        let untold_before = self.untold_before;
-        self.unproven.retain(|&unproven, _| unproven < generation.max(untold_before));
+        let oldest = generation.max(self.untold_before);
+        if let Some(at) = self.earlier.iter().position(|process| process.last >= oldest) {
+            self.current.first = self.earlier[at].first;
+            self.earlier.truncate(at);
+        }
     }
 
     /// Whether the calls of this generation have lost their lease.
     pub fn expired(&self, now: Micros, generation: Generation) -> bool {
-        now - self.proof(generation) >= LEASE
+        now >= self.expires(generation)
     }
 
     /// When the calls of this generation lose their lease unless something renews it.
     pub fn expires(&self, generation: Generation) -> Micros {
-        self.proof(generation) + LEASE
-    }
-
-    /// Forgets the processes whose calls have all lost their lease.
-    pub fn forget_expired(&mut self, now: Micros) {
-        self.unproven.retain(|_, proven| now - *proven < LEASE);
-    }
-
-    fn proof(&self, generation: Generation) -> Micros {
-        self.unproven.get(&generation).copied().unwrap_or(self.proven)
+        let of = |process: &&Process| (process.first..=process.last).contains(&generation);
+        let process = std::iter::once(&self.current).chain(&self.earlier).find(of);
+        // One that is no longer known has not been heard of for longer than a lease.
+        process.map_or(0, |process| process.proven + LEASE)
     }
 }
--- a/src/protocol/upstream/leases.rs
+++ b/src/protocol/upstream/leases.rs
@@ -50,9 +50,6 @@
         }
         owed.into_iter().for_each(|sid| self.release_at(now, office, sid));
         self.cut_standing(office, over);
-        if let Some(link) = self.links.get_mut(&office) {
-            link.leases.forget_expired(now);
-        }
         self.watch_leases(office);
     }
 }
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -387,6 +387,33 @@
     assert_eq!(m.legs, [Leg::Over, Leg::Over]);
 }
 
+#[test]
+fn a_lease_that_was_renewed_after_one_break_ends_after_the_next() {
+    let mut m = LinkModel::new();
+    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
+        .into_iter()
+        .for_each(|s| m.step(s));
+    m.mute = m.conn.map(|c| c.0);
+    m.pass(1_700 * MS);
+    m.reconnect();
+    m.hear();
+    m.step(LinkStep::Close(0, 16));
+    // It hangs, and what speaks after that may have told the end of the other call in vain.
+    let hangs = m.now;
+    while m.now - hangs < 4_000 * MS {
+        m.mute = m.conn.map(|c| c.0);
+        m.pass(20 * MS);
+        m.step(LinkStep::Up);
+    }
+    m.mute = None;
+    m.reconnect();
+    for _ in 0..40 {
+        m.hear();
+        m.pass(100 * MS);
+    }
+    assert_eq!(m.legs, [Leg::Over, Leg::Over]);
+}
+
 #[test]
 fn a_link_keeps_one_connection_and_ends_each_set_up_once() {
     use LinkStep::*;
