--- a/crates/trials/tests/checker.rs
+++ b/crates/trials/tests/checker.rs
@@ -143,11 +143,16 @@
         other => (at, other),
     }));
     assert_eq!(planted(nothing, late), [Rule::Drain], "the second of them");
+    let up = What::Listed { index: 2, member: "s-1".to_owned(), exchange: 1, phase: "up".to_owned() };
+    let connected = What::Connected { controller: 0, exchange: 1 };
     let mut flood = vec![(S - 10 * MS, What::ExchangeStarted { exchange: 1, process: 1 })];
+    flood.extend([(S - 9 * MS, up), (S - 5 * MS, connected)]);
     flood.extend((0..600).map(|n| {
         let sid = format!("{n:016x}");
         (S + n * MS, What::SetUpCame { sid, controller: 0, exchange: 1, process: 1 })
     }));
+    assert_eq!(planted(nothing, flood.clone()), [], "nobody had been told of its start");
+    flood.push((S - 5 * MS, What::ListTold { controller: 0, index: 2 }));
     assert_eq!(planted(nothing, flood), [Rule::ColdOverload]);
 }
 
