--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of what the program takes in, sends and answers.
 
-use crate::protocol::callers::CallerCounts;
+use crate::protocol::client::ClientCounts;
 use crate::protocol::mgcp::agent::AgentCounts;
 use crate::protocol::upstream::UpstreamCounts;
 use crate::routing::ledger::Tally;
@@ -16,7 +16,7 @@
     pub malformed: u64,
     /// Connections cut since their peer did not take what was sent.
     pub overflows: u64,
-    /// Callers' connections taken in.
+    /// ClientConnections' connections taken in.
     pub accepted: u64,
     /// Events of the coordinator.
     pub list_events: u64,
@@ -41,7 +41,7 @@
 }
 
 /// All counters as names and values, in a fixed order.
-pub fn table(w: &WireCounts, t: &Tally, c: &CallerCounts, l: &UpstreamCounts) -> Vec<(String, u64)> {
+pub fn table(w: &WireCounts, t: &Tally, c: &ClientCounts, l: &UpstreamCounts) -> Vec<(String, u64)> {
     let mut out: Vec<(String, u64)> = [
         ("calls.offered", t.offered),
         ("calls.stood", t.stood),
--- a/src/program/switchboard.rs
+++ b/src/program/switchboard.rs
@@ -8,7 +8,7 @@
 use super::gossip::Gossip;
 use super::log::{self, CALLS, CONNECTIONS};
 use super::telemetry::ExportCounts;
-use crate::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
+use crate::protocol::client::{Ask, ClientConnections, ClientOutput, ClientTimer};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{Place, Roster};
 use crate::protocol::mgcp::agent::{Agent, AgentDue, AgentOutput};
@@ -54,7 +54,7 @@
     /// The links'.
     Link(UpstreamTimer),
     /// The callers'.
-    Caller(CallerDue),
+    Caller(ClientTimer),
     /// The call agent's.
     Agent(AgentDue),
     /// Hand the figures to the exporter.
@@ -98,7 +98,7 @@
 #[derive(Debug)]
 pub struct Switchboard {
     ledger: Ledger,
-    callers: Callers,
+    callers: ClientConnections,
     links: UpstreamConnections,
     agent: Option<Agent>,
     appliance: Option<Appliance>,
@@ -138,7 +138,7 @@
             .map(|a| Appliance::new(Now::new(now, now), a, s.own, s.drain_grace, saved, log));
         let mut board = Switchboard {
             ledger: Ledger::new(config.settings.clone(), config.seed),
-            callers: Callers::new(now, LINES, config.classes.clone(), config.usual_callers())
+            callers: ClientConnections::new(now, LINES, config.classes.clone(), config.usual_callers())
                 .with_quiet_period(s.release + s.tick),
             links: UpstreamConnections::new(now, config.connect_timeout, config.settings.own),
             agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAYS, m.agent.clone(), config.seed)),
@@ -564,18 +564,18 @@
         }
     }
 
-    fn caller_output(&mut self, now: Micros, output: CallerOutput) {
+    fn caller_output(&mut self, now: Micros, output: ClientOutput) {
         let outbox = |conn| self.outboxes.get(&(Side::Callers, conn));
         match output {
-            CallerOutput::Tell(conn, message) => self.send(Side::Callers, conn, None, &message),
-            CallerOutput::Fail(call) => self.ledger.fail(now, call, AnswerReason::ConnectionEnding),
-            CallerOutput::Ending(conn, why) => {
+            ClientOutput::Tell(conn, message) => self.send(Side::Callers, conn, None, &message),
+            ClientOutput::Fail(call) => self.ledger.fail(now, call, AnswerReason::ConnectionEnding),
+            ClientOutput::Ending(conn, why) => {
                 tracing::debug!(target: CONNECTIONS, conn = conn.0, "caller's connection ends: {why:?}");
             }
-            CallerOutput::StopReading(conn) => drop(outbox(conn).map(Outbox::stop_reading)),
-            CallerOutput::End(conn) => drop(outbox(conn).map(Outbox::close)),
-            CallerOutput::Cut(conn) => drop(outbox(conn).map(Outbox::cut)),
-            CallerOutput::Wake(at, due) => self.deadlines.add(at, Due::Caller(due)),
+            ClientOutput::StopReading(conn) => drop(outbox(conn).map(Outbox::stop_reading)),
+            ClientOutput::End(conn) => drop(outbox(conn).map(Outbox::close)),
+            ClientOutput::Cut(conn) => drop(outbox(conn).map(Outbox::cut)),
+            ClientOutput::Wake(at, due) => self.deadlines.add(at, Due::Caller(due)),
         }
     }
 
--- a/src/protocol/client_given_up.rs
+++ b/src/protocol/client/given_up.rs
@@ -1,7 +1,7 @@
 //! Requests that their clients gave up of late, by name: one that comes again, as a client may send it that lost its
 //! connection, must not be attempted anew before the quiet period after its earlier attempt has passed.
 
-use super::json_lines::Sid;
+use crate::protocol::json_lines::Sid;
 use crate::routing::interface::Micros;
 use std::collections::{HashMap, VecDeque};
 
--- /dev/null
+++ b/src/protocol/client/messages.rs
@@ -0,0 +1,130 @@
+//! What clients send.
+
+use super::*;
+
+impl ClientConnections {
+    /// A message from a caller.
+    pub fn message(&mut self, now: Micros, conn: ConnId, message: Message) -> Ask {
+        let Some(c) = self.conns.get_mut(&conn) else { return Ask::Nothing };
+        c.used = now;
+        c.used_for_calls |= message.kind == Kind::Open;
+        let (ending, stopped) = (c.ending, c.reading_stopped);
+        let ask = match (message.kind, message.sid) {
+            (Kind::Open, Some(sid)) if ending => {
+                // It crossed the end of its connection, and has been read.
+                if !stopped && !self.by_sid.contains_key(&sid) {
+                    self.counts.crossed += 1;
+                    self.tell(conn, Message::close(sid, cause::CONGESTION));
+                }
+                Ask::Nothing
+            }
+            (Kind::Open, Some(sid)) => {
+                self.earlier.meet(now, sid);
+                self.open(now, conn, sid, message)
+            }
+            (Kind::Close, Some(sid)) => match self.by_sid.get(&sid).copied() {
+                Some(call) if self.may_release(conn, call) => {
+                    self.give_up(now, call);
+                    Ask::Left(call)
+                }
+                None if self.earlier.has(now, sid) => Ask::LeftEarlier(sid),
+                _ => {
+                    self.counts.stray += 1;
+                    Ask::Nothing
+                }
+            },
+            (Kind::Probe, sid) => Ask::Test(sid),
+            (Kind::Closed, Some(sid)) => {
+                self.releases.remove(&sid);
+                Ask::Nothing
+            }
+            _ => {
+                self.counts.unexpected += 1;
+                Ask::Nothing
+            }
+        };
+        self.end_drained(now);
+        ask
+    }
+
+    /// A call that stands may be released on any connection; a set-up is given up on its own. Guards callers
+    /// against one that makes up names.
+    pub(super) fn may_release(&self, conn: ConnId, call: CallId) -> bool {
+        self.calls.get(&call).is_some_and(|h| h.answered || h.conn == conn)
+    }
+
+    pub(super) fn open(&mut self, now: Micros, conn: ConnId, sid: Sid, message: Message) -> Ask {
+        if self.by_sid.contains_key(&sid) {
+            // Guards against a second answer to one call: nothing is said about its name.
+            self.counts.repeated += 1;
+            self.end(now, conn, EndReason::NameInUse);
+            return Ask::Nothing;
+        }
+        if self.conns.get(&conn).is_some_and(|c| !c.proven && c.open >= OPEN_NEW) {
+            self.counts.crowded += 1;
+            self.turn_away(now, conn, Message::close(sid, cause::CONGESTION));
+            return Ask::Nothing;
+        }
+        let not_before = self.given_up.not_before(now, sid);
+        match self.offer(&message, not_before) {
+            Some(offer) => Ask::Offer(sid, message.attrs.get("key").cloned(), Box::new(offer)),
+            None => {
+                // A class or a figure that nothing can be made of: failed, not refused, since trying the
+                // same again will not help.
+                self.counts.unusable += 1;
+                self.turn_away(now, conn, Message::close(sid, cause::NOT_IMPLEMENTED));
+                Ask::Nothing
+            }
+        }
+    }
+
+    pub(super) fn offer(&self, message: &Message, not_before: Micros) -> Option<Offer> {
+        let class = message.field("class")?;
+        let class = self.classes.iter().position(|c| *c == class)?;
+        let patience = message.millis("left").filter(|&p| p <= PATIENCE)?;
+        let extras = message.field("extras").unwrap_or_default();
+        let figures = figures(&extras)?;
+        let flag = |name: &str| figures.get(name).is_some_and(|&v| v != 0.0);
+        let exchange = |v: f64| ((0.0..=65_535.0).contains(&v) && v.fract() == 0.0).then_some(v as u16);
+        let width = figures.get("width").copied().unwrap_or(1.0);
+        if !(1.0..=WIDTH).contains(&width) || width.fract() != 0.0 {
+            return None;
+        }
+        let via = match figures.get("via") {
+            None => None,
+            Some(&-1.0) => None,
+            Some(&v) => Some(exchange(v)?),
+        };
+        let key = message.field("key").filter(|k| !k.is_empty());
+        let ask = NewCall {
+            call: CallId(0),
+            destination: ExchangeNo(figures.get("dest").copied().and_then(exchange)?),
+            transit: flag("transit"),
+            redialled: message.field("retry").is_some_and(|r| r != "0"),
+            cut_before: flag("again"),
+            number: key.map(|k| number(&k)).filter(|&n| n != 0),
+            width: width as u32,
+            patience,
+            class,
+            via: via.map(ExchangeNo),
+            not_before,
+        };
+        Some(Offer { front: self.front, ask, description: message.text.clone() })
+    }
+
+    /// The core has taken the call that this connection asked for.
+    pub fn taken(&mut self, conn: ConnId, sid: Sid, key: Option<Value>, call: CallId) {
+        self.by_sid.insert(sid, call);
+        self.calls.insert(call, ClientCall { sid, key, conn, answered: false });
+        if let Some(c) = self.conns.get_mut(&conn) {
+            c.open += 1;
+        }
+    }
+}
+
+/// A called number as the module knows it: sixteen hexadecimal digits as they are, others by a hash (FNV-1a).
+fn number(key: &str) -> u64 {
+    Sid::parse(key).map(|s| s.0).unwrap_or_else(|| {
+        key.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    })
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,8 +1,7 @@
 //! Wire formats and the states of connections, without input or output: bytes or messages go in, bytes or
 //! messages come out.
 
-pub mod callers;
-pub mod client_given_up;
+pub mod client;
 pub mod json_lines;
 pub mod membership;
 pub mod mgcp;
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use walnuthatch::protocol::callers::{Ask, CallerDue, CallerOutput, Callers};
+use walnuthatch::protocol::client::{Ask, ClientConnections, ClientOutput, ClientTimer};
 use walnuthatch::protocol::json_lines::{Kind, LineError, LineSplitter, Message, Sid, LONGEST};
 use walnuthatch::protocol::membership::Place;
 use walnuthatch::protocol::upstream::{Closing, UpstreamConnections, UpstreamOutput, UpstreamTimer};
@@ -450,7 +450,7 @@
     });
 }
 
-// ---- Callers ----
+// ---- ClientConnections ----
 
 #[derive(Clone, Debug)]
 enum CallerStep {
@@ -479,9 +479,9 @@
 
 #[derive(Debug)]
 struct CallerModel {
-    callers: Callers,
+    callers: ClientConnections,
     now: Micros,
-    due: Deadlines<CallerDue>,
+    due: Deadlines<ClientTimer>,
     conns: BTreeMap<ConnId, CallerConn>,
     next: u64,
     /// Each call held: its name, its connection, whether it stands.
@@ -493,7 +493,7 @@
 
 impl CallerModel {
     fn new(most: usize) -> Self {
-        let callers = Callers::new(-100_000 * MS, FrontId(0), vec!["a".to_owned()], most);
+        let callers = ClientConnections::new(-100_000 * MS, FrontId(0), vec!["a".to_owned()], most);
         let (due, conns, calls, owed) = Default::default();
         CallerModel { callers, now: 0, due, conns, next: 0, calls, owed, most }
     }
@@ -510,7 +510,7 @@
             }
             for output in outputs {
                 match output {
-                    CallerOutput::Tell(conn, message) => {
+                    ClientOutput::Tell(conn, message) => {
                         let c = &self.conns[&conn];
                         assert!(!c.ended, "nothing after its end");
                         let Some(owed) = message.sid.and_then(|s| self.owed.get_mut(&s)) else { continue };
@@ -520,28 +520,28 @@
                         );
                         owed.1.push(conn);
                     }
-                    CallerOutput::Fail(call) => {
+                    ClientOutput::Fail(call) => {
                         let conn = self.calls[&call].1;
                         self.conns.get_mut(&conn).unwrap().ending = true;
                         self.callers.answer(self.now, call, self::Answer::Failed);
                         assert!(!self.calls.remove(&call).unwrap().2, "what stands is not failed");
                     }
-                    CallerOutput::StopReading(conn) => self.callers.reading_stopped(conn),
-                    CallerOutput::Ending(conn, _) => {
+                    ClientOutput::StopReading(conn) => self.callers.reading_stopped(conn),
+                    ClientOutput::Ending(conn, _) => {
                         let c = self.conns.get_mut(&conn).unwrap();
                         assert!(!c.ending && !c.ended, "said once, before its end");
                         c.ending = true;
                     }
-                    CallerOutput::End(conn) => {
+                    ClientOutput::End(conn) => {
                         assert_eq!(self.open_on(conn), 0, "every set-up taken is answered first");
                         let c = self.conns.get_mut(&conn).unwrap();
                         (c.ending, c.ended) = (true, true);
                     }
-                    CallerOutput::Cut(conn) => {
+                    ClientOutput::Cut(conn) => {
                         assert!(self.conns[&conn].ended);
                         self.drop(conn);
                     }
-                    CallerOutput::Wake(at, due) => self.due.add(at, due),
+                    ClientOutput::Wake(at, due) => self.due.add(at, due),
                 }
             }
         }
@@ -623,8 +623,8 @@
                 self.callers.answer(self.now, id, answer);
                 let want = if stands { Kind::Ready } else { Kind::Close };
                 let outputs = self.callers.take_outputs();
-                let told = |o: &CallerOutput| {
-                    matches!(o, CallerOutput::Tell(c, m)
+                let told = |o: &ClientOutput| {
+                    matches!(o, ClientOutput::Tell(c, m)
                     if *c == conn && m.sid == Some(sid) && m.kind == want)
                 };
                 assert_eq!(
@@ -637,13 +637,13 @@
                     self.conns.get_mut(&conn).unwrap().proven = true;
                 } else {
                     self.calls.remove(&id);
-                    let ends = outputs.contains(&CallerOutput::End(conn));
+                    let ends = outputs.contains(&ClientOutput::End(conn));
                     let c = self.conns.get_mut(&conn).unwrap();
                     assert!(!ends || !c.proven, "a refusal ends none that calls have stood on");
                     (c.ending, c.ended) = (c.ending || ends, c.ended || ends);
                 }
                 for output in outputs {
-                    if let CallerOutput::Wake(at, due) = output {
+                    if let ClientOutput::Wake(at, due) = output {
                         self.due.add(at, due);
                     }
                 }
@@ -745,13 +745,13 @@
     });
 }
 
-fn front_with_connection() -> (Callers, ConnId) {
-    let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()], 6);
+fn front_with_connection() -> (ClientConnections, ConnId) {
+    let mut callers = ClientConnections::new(0, FrontId(0), vec!["a".to_owned()], 6);
     callers.opened(0, ConnId(0));
     (callers, ConnId(0))
 }
 
-fn set_up(callers: &mut Callers, now: Micros, conn: ConnId, sid: u64) -> Ask {
+fn set_up(callers: &mut ClientConnections, now: Micros, conn: ConnId, sid: u64) -> Ask {
     let message = Message::new(Kind::Open, Some(Sid(sid))).with("class", "a").with("left", 900);
     callers.message(now, conn, message.with("extras", "dest:2"))
 }
@@ -759,30 +759,30 @@
 #[test]
 fn a_set_up_that_crosses_the_end_of_its_connection_is_answered_before_it_is_closed() {
     let (mut callers, conn) = front_with_connection();
-    callers.due(1_000 * MS, CallerDue::Idle(conn));
-    assert!(callers.take_outputs().contains(&CallerOutput::StopReading(conn)));
+    callers.due(1_000 * MS, ClientTimer::Idle(conn));
+    assert!(callers.take_outputs().contains(&ClientOutput::StopReading(conn)));
     // It had been read, and was on its way here.
     assert_eq!(set_up(&mut callers, 1_000 * MS, conn, 7), Ask::Nothing);
-    let refusal = CallerOutput::Tell(conn, Message::close(Sid(7), 42));
+    let refusal = ClientOutput::Tell(conn, Message::close(Sid(7), 42));
     assert_eq!(callers.take_outputs(), [refusal]);
     callers.reading_stopped(conn);
-    assert_eq!(callers.take_outputs(), [CallerOutput::End(conn)]);
+    assert_eq!(callers.take_outputs(), [ClientOutput::End(conn)]);
 }
 
 #[test]
 fn a_connection_beyond_the_limit_has_its_first_set_up_answered() {
-    let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()], 1);
+    let mut callers = ClientConnections::new(0, FrontId(0), vec!["a".to_owned()], 1);
     callers.opened(0, ConnId(0));
     assert!(matches!(set_up(&mut callers, 0, ConnId(0), 6), Ask::Offer(..)));
     callers.taken(ConnId(0), Sid(6), None, CallId(1));
     // Every connection is needed, so that this one has to go.
     callers.opened(10 * MS, ConnId(1));
-    assert!(!callers.take_outputs().contains(&CallerOutput::StopReading(ConnId(1))));
+    assert!(!callers.take_outputs().contains(&ClientOutput::StopReading(ConnId(1))));
     assert_eq!(set_up(&mut callers, 12 * MS, ConnId(1), 7), Ask::Nothing);
-    let refusal = CallerOutput::Tell(ConnId(1), Message::close(Sid(7), 42));
+    let refusal = ClientOutput::Tell(ConnId(1), Message::close(Sid(7), 42));
     assert!(callers.take_outputs().contains(&refusal));
-    callers.due(110 * MS, CallerDue::StopReading(ConnId(1)));
-    assert_eq!(callers.take_outputs(), [CallerOutput::StopReading(ConnId(1))]);
+    callers.due(110 * MS, ClientTimer::StopReading(ConnId(1)));
+    assert_eq!(callers.take_outputs(), [ClientOutput::StopReading(ConnId(1))]);
 }
 
 #[test]
@@ -817,7 +817,7 @@
     callers.drain(10 * MS);
     callers.answer(20 * MS, CallId(1), Answer::Stands(None));
     callers.release(500 * MS, CallId(1), false);
-    let ends = |o: &CallerOutput| matches!(o, CallerOutput::Ending(..));
+    let ends = |o: &ClientOutput| matches!(o, ClientOutput::Ending(..));
     assert!(!callers.take_outputs().iter().any(ends), "its end has not been heard");
     callers.message(510 * MS, conn, Message::new(Kind::Closed, Some(Sid(7))));
     assert!(callers.take_outputs().iter().any(ends));
@@ -1018,7 +1018,8 @@
 
 #[test]
 fn a_request_that_comes_again_is_not_attempted_before_its_quiet_period() {
-    let mut callers = Callers::new(0, FrontId(0), vec!["a".to_owned()], 6).with_quiet_period(505 * MS);
+    let mut callers =
+        ClientConnections::new(0, FrontId(0), vec!["a".to_owned()], 6).with_quiet_period(505 * MS);
     let not_before = |ask: Ask| match ask {
         Ask::Offer(_, _, offer) => offer.ask.not_before,
         other => panic!("{other:?}"),
