Name a program that does not start, in place of waiting for it without end

A trial whose addresses were in use waited for its controllers to pass a test that never came. The command now says that the program does not start, with the last line of each log, and counts the trial as not run.

--- a/crates/trials/src/controller.rs
+++ b/crates/trials/src/controller.rs
@@ -99,6 +99,12 @@
         self.child.is_some()
     }
 
+    /// The last line of its log.
+    pub fn last_words(&self) -> String {
+        let log = fs::read_to_string(self.file("log")).unwrap_or_default();
+        log.lines().last().unwrap_or("nothing said").to_owned()
+    }
+
     /// Memory in use (KiB) and open descriptors, if its process runs.
     pub fn resources(&self) -> Option<(u64, u64)> {
         let id = self.child.as_ref()?.id();
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -180,7 +180,9 @@
         let read = Record::read(&self.file(seed)).map_err(|e| e.to_string());
         let record = match read {
             Ok(record) if well => record,
-            Ok(_) => return table.not_run.push((seed, "the trial did not end well".to_owned())),
+            Ok(_) => {
+                return table.not_run.push((seed, "its process ended with an error, see above".to_owned()))
+            }
             Err(why) => return table.not_run.push((seed, why)),
         };
         let verdict = check(&record);
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -37,6 +37,8 @@
 const STOPPING: Millis = 6_000;
 /// How often the trial's own timers are measured.
 const CLOCK: Duration = Duration::from_millis(10);
+/// Every controller passes a test this long after its first start, or the trial is not played.
+const FIRST_START: Millis = 30_000;
 /// How often a process or a test is looked at.
 const LOOK: Millis = 20;
 
@@ -143,10 +145,8 @@
         for number in 0..self.controllers.len() {
             self.start(number)?;
         }
-        while (0..self.controllers.len()).any(|n| !self.passed(n)) {
-            sleep(LOOK).await;
-        }
         self.lab.spawn(self.clone().watch());
+        self.until_all_passed().await?;
         self.start_clients();
         for planned in self.schedule.planned.clone() {
             let here = self.clone();
@@ -208,9 +208,22 @@
         self.controllers[number].borrow().configure(self.coordinator_at.get(), &known, seed)
     }
 
-    fn passed(&self, number: usize) -> bool {
-        let ready = |w: &What| *w == What::Ready { controller: number };
-        self.lab.recorder.events().iter().any(|e| ready(&e.what))
+    /// Waits until each controller has passed a test.
+    async fn until_all_passed(&self) -> io::Result<()> {
+        let end = Instant::now() + Duration::from_millis(FIRST_START);
+        loop {
+            sleep(LOOK).await;
+            let events = self.lab.recorder.events();
+            let passed = events.iter().filter(|e| matches!(e.what, What::Ready { .. })).count();
+            if passed == self.controllers.len() {
+                return Ok(());
+            }
+            let ended = events.iter().any(|e| matches!(e.what, What::Exited { .. }));
+            if ended || Instant::now() >= end {
+                let why = self.controllers.iter().map(|c| c.borrow().last_words()).collect::<Vec<_>>();
+                return Err(io::Error::other(format!("the program does not start: {}", why.join("; "))));
+            }
+        }
     }
 
     /// Notes the end of each process.
