--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -14,7 +14,7 @@
                 // It crossed the end of its connection, and has been read.
                 if !stopped && !self.by_sid.contains_key(&sid) {
                     self.counts.crossed += 1;
-                    self.tell(conn, Message::close(sid, cause::CONGESTION));
+                    self.tell(conn, crowded(sid));
                 }
                 Ask::Nothing
             }
@@ -62,7 +62,7 @@
         }
         if self.conns.get(&conn).is_some_and(|c| !c.proven && c.open >= OPEN_NEW) {
             self.counts.crowded += 1;
-            self.turn_away(now, conn, Message::close(sid, cause::CONGESTION));
+            self.turn_away(now, conn, crowded(sid));
             return Ask::Nothing;
         }
         let not_before = self.given_up.not_before(now, sid);
@@ -128,3 +128,8 @@
         key.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
     })
 }
+
+/// A refusal for want of room, with when to come back.
+fn crowded(sid: Sid) -> Message {
+    Message::close(sid, cause::CONGESTION).with("wait", CROWDED_PAUSE_MS)
+}
--- a/src/protocol/client/mod.rs
+++ b/src/protocol/client/mod.rs
@@ -36,6 +36,8 @@
 const YOUNG: Micros = 100_000;
 /// Set-ups open on a connection on which no call has ever stood; more are refused.
 const OPEN_NEW: usize = 100;
+/// How long a caller keeps away whose set-up is refused for want of room, or crossed the end of its connection (ms).
+const CROWDED_PAUSE_MS: &str = "1000";
 /// Set-ups turned away on a connection on which no call has ever stood, after which it is ended: it may be that it
 /// sends the same again at once, for ever.
 const TURNED_AWAY: u32 = 8;
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -763,7 +763,7 @@
     assert!(callers.take_outputs().contains(&ClientOutput::StopReading(conn)));
     // It had been read, and was on its way here.
     assert_eq!(set_up(&mut callers, 1_000 * MS, conn, 7), Ask::Nothing);
-    let refusal = ClientOutput::Tell(conn, Message::close(Sid(7), 42));
+    let refusal = ClientOutput::Tell(conn, Message::close(Sid(7), 42).with("wait", "1000"));
     assert_eq!(callers.take_outputs(), [refusal]);
     callers.reading_stopped(conn);
     assert_eq!(callers.take_outputs(), [ClientOutput::End(conn)]);
@@ -779,7 +779,7 @@
     callers.opened(10 * MS, ConnId(1));
     assert!(!callers.take_outputs().contains(&ClientOutput::StopReading(ConnId(1))));
     assert_eq!(set_up(&mut callers, 12 * MS, ConnId(1), 7), Ask::Nothing);
-    let refusal = ClientOutput::Tell(ConnId(1), Message::close(Sid(7), 42));
+    let refusal = ClientOutput::Tell(ConnId(1), Message::close(Sid(7), 42).with("wait", "1000"));
     assert!(callers.take_outputs().contains(&refusal));
     callers.due(110 * MS, ClientTimer::StopReading(ConnId(1)));
     assert_eq!(callers.take_outputs(), [ClientOutput::StopReading(ConnId(1))]);
