--- a/tests/models.rs
+++ b/tests/models.rs
@@ -285,6 +285,26 @@
         m
     }
 
+    /// Two calls stand.
+    fn with_two_calls() -> LinkModel {
+        let mut m = LinkModel::new();
+        [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
+            .into_iter()
+            .for_each(|s| m.step(s));
+        m
+    }
+
+    /// The exchange takes nothing in for so long, while its system accepts.
+    fn hang(&mut self, span: Micros) {
+        let end = self.now + span;
+        while self.now < end {
+            self.mute = self.conn.map(|c| c.0);
+            self.pass(20 * MS);
+            self.step(LinkStep::Up);
+        }
+        self.mute = None;
+    }
+
     /// The next connection comes up.
     fn reconnect(&mut self) {
         while self.conn.is_none() || self.conn.map(|c| c.0) == self.mute {
@@ -326,10 +346,7 @@
 
 #[test]
 fn calls_are_cut_when_their_process_is_not_heard_of_whatever_else_speaks_at_its_address() {
-    let mut m = LinkModel::new();
-    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
-        .into_iter()
-        .for_each(|s| m.step(s));
+    let mut m = LinkModel::with_two_calls();
     m.step(LinkStep::Vanish);
     m.pass(2_500 * MS);
     m.reconnect();
@@ -346,10 +363,7 @@
 
 #[test]
 fn calls_stand_on_after_a_break_when_their_process_says_something_of_one_of_them() {
-    let mut m = LinkModel::new();
-    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
-        .into_iter()
-        .for_each(|s| m.step(s));
+    let mut m = LinkModel::with_two_calls();
     // The network is cut for six seconds, and the exchange is still there.
     m.mute = m.conn.map(|c| c.0);
     m.pass(6_000 * MS);
@@ -365,18 +379,9 @@
 
 #[test]
 fn calls_are_cut_when_the_connection_that_may_have_told_their_end_was_given_up() {
-    let mut m = LinkModel::new();
-    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
-        .into_iter()
-        .for_each(|s| m.step(s));
+    let mut m = LinkModel::with_two_calls();
     // The exchange hangs while its system accepts: it will tell the ends of calls on a connection that is given up.
-    let hangs = m.now;
-    while m.now - hangs < 4_000 * MS {
-        m.mute = m.conn.map(|c| c.0);
-        m.pass(20 * MS);
-        m.step(LinkStep::Up);
-    }
-    m.mute = None;
+    m.hang(4_000 * MS);
     m.reconnect();
     m.hear();
     m.step(LinkStep::Close(0, 16));
@@ -389,23 +394,14 @@
 
 #[test]
 fn a_lease_that_was_renewed_after_one_break_ends_after_the_next() {
-    let mut m = LinkModel::new();
-    [LinkStep::SetUp, LinkStep::SetUp, LinkStep::Up, LinkStep::Ready(0), LinkStep::Ready(1)]
-        .into_iter()
-        .for_each(|s| m.step(s));
+    let mut m = LinkModel::with_two_calls();
     m.mute = m.conn.map(|c| c.0);
     m.pass(1_700 * MS);
     m.reconnect();
     m.hear();
     m.step(LinkStep::Close(0, 16));
     // It hangs, and what speaks after that may have told the end of the other call in vain.
-    let hangs = m.now;
-    while m.now - hangs < 4_000 * MS {
-        m.mute = m.conn.map(|c| c.0);
-        m.pass(20 * MS);
-        m.step(LinkStep::Up);
-    }
-    m.mute = None;
+    m.hang(4_000 * MS);
     m.reconnect();
     for _ in 0..40 {
         m.hear();
