--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -660,3 +660,81 @@
         names.join(", ")
     )
 }
+
+// ---- The coordinator ----
+
+pub struct CoordinatorState {
+    /// The events so far, by number from 1.
+    pub events: Vec<(Instant, String)>,
+}
+
+/// The coordinator: a stream of server-sent events that begins after the event that the client names, with a comment
+/// every second. The head of each response comes after `delay`.
+pub struct Coordinator {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<CoordinatorState>>,
+}
+
+impl Coordinator {
+    pub fn start(record: &Record, first: String, delay: Duration) -> Coordinator {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(CoordinatorState { events: vec![(Instant::now(), first)] }));
+        let (shared, record) = (state.clone(), record.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (shared, record) = (shared.clone(), record.clone());
+                std::thread::spawn(move || serve_events(stream, &shared, &record, delay));
+            }
+        });
+        Coordinator { address, state }
+    }
+
+    pub fn add(&self, record: &Record, event: String) -> Instant {
+        record.add(&format!("coordinator has: {event}"));
+        let now = Instant::now();
+        self.state.lock().unwrap().events.push((now, event));
+        now
+    }
+}
+
+fn serve_events(
+    mut stream: TcpStream,
+    shared: &Arc<Mutex<CoordinatorState>>,
+    record: &Record,
+    delay: Duration,
+) {
+    let mut last = 0;
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|n| n > 0) && !line.trim().is_empty() {
+        if let Some(id) = line.to_ascii_lowercase().strip_prefix("last-event-id:") {
+            last = id.trim().parse().unwrap_or(0);
+        }
+        line.clear();
+    }
+    record.add(&format!("coordinator got: a request for the events after {last}"));
+    std::thread::sleep(delay);
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\r\n: hello\n\n";
+    if stream.write_all(head.as_bytes()).is_err() {
+        return record.add("coordinator: the client had left before it was answered");
+    }
+    let mut commented = Instant::now();
+    loop {
+        let events = shared.lock().unwrap().events.clone();
+        for (at, (_, event)) in events.iter().enumerate().skip(last) {
+            last = at + 1;
+            if stream.write_all(format!("id: {last}\ndata: {event}\n\n").as_bytes()).is_err() {
+                return record.add("coordinator: the client has left");
+            }
+            record.add(&format!("coordinator told: event {last}"));
+        }
+        if commented.elapsed() >= Duration::from_secs(1) {
+            commented = Instant::now();
+            if stream.write_all(b": alive\n\n").is_err() {
+                return record.add("coordinator: the client has left");
+            }
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
