--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -109,6 +109,10 @@
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("controller");
         record.add(&format!("controller: started, process {}", child.id()));
+        if let Ok(path) = std::env::var("PIDS") {
+            let file = fs::OpenOptions::new().append(true).open(path);
+            let _ = file.and_then(|mut f| writeln!(f, "{}", child.id()));
+        }
         let streams: [Box<dyn std::io::Read + Send>; 2] =
             [Box::new(child.stdout.take().unwrap()), Box::new(child.stderr.take().unwrap())];
         for stream in streams {
@@ -715,7 +719,8 @@
     }
     record.add(&format!("coordinator got: a request for the events after {last}"));
     std::thread::sleep(delay);
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\r\n: hello\n\n";
+    let head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\r\n: hello\n\n";
     if stream.write_all(head.as_bytes()).is_err() {
         return record.add("coordinator: the client had left before it was answered");
     }
