Log the exchange and the destination of each set-up

The log line of a set-up named only the internal identifier of the machine that it was sent to. Whether a call for a full exchange that reached a gateway was sent there by the decision module, by a number that is used twice or by the call agent's choice of an endpoint could not be told from it.

--- a/src/program/event_loop/gossip.rs
+++ b/src/program/event_loop/gossip.rs
@@ -15,7 +15,8 @@
         | ledger::Output::AttemptEnded { call, .. }
         | ledger::Output::Release { call, .. } = output
         {
-            crate::program::log::log_call_output(output, self.callers.sid_and_number(*call).map(|p| p.0));
+            let sid = self.callers.sid_and_number(*call).map(|p| p.0);
+            crate::program::log::log_call_output(output, sid, &self.ledger);
         }
         if let Some(a) = &mut self.appliance {
             a.observe(now, output, &self.ledger, &self.latency_objectives);
--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -3,7 +3,7 @@
 
 use super::appliance_file::LogFormat;
 use crate::protocol::json_lines::Sid;
-use crate::routing::ledger::{Answer, Output};
+use crate::routing::ledger::{Answer, Ledger, Output};
 use std::fmt;
 use std::io;
 use tracing::{Event, Level, Subscriber};
@@ -126,7 +126,7 @@
 }
 
 /// Logs the progress of a call at level DEBUG. `sid` is the caller's name of the call, if it has one.
-pub fn log_call_output(output: &Output, sid: Option<Sid>) {
+pub fn log_call_output(output: &Output, sid: Option<Sid>, ledger: &Ledger) {
     let sid = sid.map(tracing::field::display);
     match output {
         Output::Answer { call, answer, reason, destination, last_attempt, .. } => {
@@ -141,8 +141,11 @@
         }
         Output::SetUp { call, attempt, timeout, exchange_id } => {
             let (attempt, address) = (attempt.0, u32::from_be_bytes(exchange_id.addr));
+            let exchange = ledger.administrative_state().exchange_of(*exchange_id).map(|e| e.0);
+            let destination = ledger.offered_call(*call).map(|o| o.new_call.destination.0);
             tracing::debug!(
-                target: CALLS_TARGET, sid, call = call.0, attempt, office = address, wait = timeout, "set-up sent"
+                target: CALLS_TARGET, sid, call = call.0, attempt, office = address, exchange, destination,
+                wait = timeout, "set-up sent"
             );
         }
         Output::Clear { call, attempt, .. } => {
