Never use a gateway as a tandem, nor a tandem to reach a gateway

Cause: gateways are entries of the list of exchanges and nothing told them apart. The decision module took each listed neighbour with enough free circuits for a tandem. Evidence: the set-up's log line reads 'exchange=101 destination=1'; that rules out a number used twice and the call agent's choice of an endpoint.

Change: list entries have a kind. The decision module takes only exchanges as tandems and reaches a gateway directly; the ledger blocks a set-up that would break this and counts it (held_back.misrouted). The same cause stood in calls for a busy gateway (sent to an exchange, seen on its wire), in calls for the own exchange, and in the cost of a drain.

--- a/examples/gossip_tables.rs
+++ b/examples/gossip_tables.rs
@@ -207,6 +207,7 @@
     let mut ledger = Ledger::new(settings, i as u64 + 1);
     let entry = |j: usize| ListEntry {
         exchange: ExchangeNumber(j as u16),
+        kind: ExchangeKind::Exchange,
         zone: 0,
         state: ListState::Ready,
         exchange_id: exchange_id(j),
--- a/src/program/views.rs
+++ b/src/program/views.rs
@@ -247,6 +247,10 @@
     }
 
     fn linked(&self, tandem: target::Exchange, to: target::Exchange) -> Option<bool> {
+        let list = self.snapshot.ledger.administrative_state();
+        if [tandem, to].iter().any(|e| list.is_gateway(ExchangeNumber(e.0))) {
+            return Some(false);
+        }
         let trunk_groups = self.trunk_groups.filter(|l| !l.is_empty())?;
         Some(trunk_groups.contains(&(ExchangeNumber(tandem.0), ExchangeNumber(to.0))))
     }
--- a/src/protocol/membership.rs
+++ b/src/protocol/membership.rs
@@ -1,7 +1,7 @@
 //! The coordinator's list of exchanges: parses its events and assigns an [`ExchangeId`] to each member.
 
 use crate::fault_injection::{fault_injected, InjectedFault};
-use crate::routing::interface::{ExchangeId, ExchangeNumber, ListEntry, ListState, ListUpdate};
+use crate::routing::interface::{ExchangeId, ExchangeKind, ExchangeNumber, ListEntry, ListState, ListUpdate};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -126,7 +126,8 @@
                 _ => Some(self.assign_id(&m.id)),
             };
             let (exchange, Some(exchange_id)) = (ExchangeNumber(m.cell), exchange_id) else { continue };
-            entries.push(ListEntry { exchange, zone, state, exchange_id, last_start });
+            let kind = ExchangeKind::Exchange;
+            entries.push(ListEntry { exchange, kind, zone, state, exchange_id, last_start });
             addresses.push(MemberAddress { member: m.id, address });
         }
         let complete = event.endpoints.complete || !self.received_list;
--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -12,8 +12,8 @@
 use super::message::{self, parse_events, Command, EndpointName, Message, Params, Response, Verb};
 use super::transactions::{new_command, CommandTransactions, ResponseHistory, TimeoutAction};
 use crate::routing::interface::{
-    AttemptNumber, CallId, Cause, Ending, ExchangeId, ExchangeNumber, ListEntry, ListState, LoadReport,
-    Micros, NewCall,
+    AttemptNumber, CallId, Cause, Ending, ExchangeId, ExchangeKind, ExchangeNumber, ListEntry, ListState,
+    LoadReport, Micros, NewCall,
 };
 use crate::routing::ledger::{Answer, FrontendId, OfferedCall, SessionDescription};
 use std::collections::BTreeMap;
@@ -314,7 +314,8 @@
     fn list_entry(&self, gateway: usize) -> ListEntry {
         let (state, last_start) = self.gateway_states[gateway];
         let exchange = self.config.gateways[gateway].exchange;
-        ListEntry { exchange, zone: 0, state, exchange_id: Self::exchange_id_of(gateway), last_start }
+        let (kind, exchange_id) = (ExchangeKind::Gateway, Self::exchange_id_of(gateway));
+        ListEntry { exchange, kind, zone: 0, state, exchange_id, last_start }
     }
 
     // ---- Datagrams ----
--- a/src/protocol/simulator.rs
+++ b/src/protocol/simulator.rs
@@ -311,7 +311,8 @@
         let (_capacity_hint, _machine) = (e.f32()?, e.u16()?);
         let start = e.time()?;
         let last_start = (start != 0).then_some(start);
-        entries.push(ListEntry { exchange, zone, state, exchange_id, last_start });
+        let kind = ExchangeKind::Exchange;
+        entries.push(ListEntry { exchange, kind, zone, state, exchange_id, last_start });
     }
     lists.0.insert(number, entries.into());
     Ok(())
--- a/src/routing/administrative_state.rs
+++ b/src/routing/administrative_state.rs
@@ -7,7 +7,8 @@
 //! something is first taken out of service, lists and reports pass through unchanged.
 
 use super::interface::{
-    ExchangeId, ExchangeNumber, ListEntry, ListState, ListUpdate, LoadReport, Micros, OutOfService,
+    ExchangeId, ExchangeKind, ExchangeNumber, ListEntry, ListState, ListUpdate, LoadReport, Micros,
+    OutOfService,
 };
 use std::collections::BTreeMap;
 
@@ -205,6 +206,18 @@
         self.listed.get(&exchange_id).map(|e| e.exchange)
     }
 
+    /// Whether calls to a destination may be set up at a machine: a gateway is no tandem, and is reached only directly.
+    pub fn may_carry(&self, exchange_id: ExchangeId, destination: ExchangeNumber) -> bool {
+        self.listed.get(&exchange_id).is_none_or(|e| {
+            e.exchange == destination || e.kind == ExchangeKind::Exchange && !self.is_gateway(destination)
+        })
+    }
+
+    /// Whether calls to this number end at a gateway.
+    pub fn is_gateway(&self, exchange: ExchangeNumber) -> bool {
+        self.listed.values().any(|e| e.exchange == exchange && e.kind == ExchangeKind::Gateway)
+    }
+
     /// The list as received from the coordinator, with free circuits and size of each group.
     pub fn exchanges(&self) -> impl Iterator<Item = (&ListEntry, Option<(f64, f64)>)> {
         self.listed.values().map(|e| (e, self.circuits.get(&e.exchange_id).map(|f| (f.0, f.1))))
@@ -224,7 +237,8 @@
 
     fn entry(n: u16, state: ListState) -> ListEntry {
         let exchange_id = ExchangeId { addr: [0, 0, 0, n as u8], port: 0 };
-        ListEntry { exchange: ExchangeNumber(n), zone: 0, state, exchange_id, last_start: None }
+        let kind = ExchangeKind::Exchange;
+        ListEntry { exchange: ExchangeNumber(n), kind, zone: 0, state, exchange_id, last_start: None }
     }
 
     fn out_of_service(exchanges: &[u16], groups: &[u16]) -> OutOfService {
--- a/src/routing/control/exchange_state.rs
+++ b/src/routing/control/exchange_state.rs
@@ -19,6 +19,7 @@
 pub(super) struct ExchangeState {
     pub(super) exchange_id: ExchangeId,
     pub(super) exchange_number: ExchangeNumber,
+    pub(super) kind: ExchangeKind,
     pub(super) state: ListState,
     /// Start of the processor; `None` if it was already warm when first listed.
     pub(super) started: Option<Micros>,
@@ -51,6 +52,7 @@
         let listed = ExchangeState {
             exchange_id: entry.exchange_id,
             exchange_number: entry.exchange,
+            kind: entry.kind,
             state: entry.state,
             ..ExchangeState::default()
         };
--- a/src/routing/control/membership.rs
+++ b/src/routing/control/membership.rs
@@ -62,6 +62,7 @@
         let exchange = &mut self.exchanges[index];
         exchange.state = entry.state;
         exchange.exchange_number = entry.exchange;
+        exchange.kind = entry.kind;
         if entry.last_start.is_some() && entry.last_start != exchange.started {
             // The processor restarted: its previous load and limits no longer apply.
             exchange.started = entry.last_start;
--- a/src/routing/control/route.rs
+++ b/src/routing/control/route.rs
@@ -123,6 +123,8 @@
     pub(super) fn can_use_tandem(&self, now: Micros, index: usize, call: &Call) -> bool {
         let (request, tandem) = (&call.request, &self.exchanges[index]);
         tandem.exchange_number != request.destination
+            && tandem.kind == ExchangeKind::Exchange
+            && !self.is_gateway(request.destination)
             && Some(tandem.exchange_number) != self.settings.own_exchange
             && self.class_may_use(request, tandem.exchange_number)
             && tandem.group.is_some_and(|g| g.0 >= self.required_circuits(request, g.1) + tandem.headroom())
@@ -136,6 +138,13 @@
             && self.accepts_setups(now, index)
     }
 
+    /// Whether calls to this number end at a gateway, to which only the direct route leads.
+    fn is_gateway(&self, exchange: ExchangeNumber) -> bool {
+        self.index_by_number
+            .get(&exchange)
+            .is_some_and(|&index| self.exchanges[index].kind == ExchangeKind::Gateway)
+    }
+
     /// Free circuits, beside the headroom, that a call needs on a tandem's group of the given size. A call back to
     /// the own exchange occupies twice as many, and the tandem turns it back if the group's load exceeds
     /// `ACCEPT_LOAD`.
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -186,11 +186,24 @@
     Gone,
 }
 
+/// What stands behind an entry of the list of exchanges.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum ExchangeKind {
+    /// An exchange whose session controller passes calls on, or a pool of agents.
+    #[default]
+    Exchange,
+    /// A media gateway of this controller. Calls end at its endpoints: it passes none on, and no other exchange has a
+    /// group to it.
+    Gateway,
+}
+
 /// One entry of the list of exchanges.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListEntry {
     /// Number of the exchange.
     pub exchange: ExchangeNumber,
+    /// Whether it is an exchange or a gateway.
+    pub kind: ExchangeKind,
     /// Zone of the machine.
     pub zone: u8,
     /// Service state.
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -2,7 +2,7 @@
 //! release. It runs the decision module and enforces the call-handling rules for every front end.
 //!
 //! Each rule is enforced in one place: a single final answer per call (`Ledger::finish_call`); at most one attempt
-//! in progress, the drain grace and the quiet period (`Ledger::send_setup`).
+//! in progress, the drain grace, the quiet period, and only the direct route to gateways (`Ledger::send_setup`).
 
 use super::administrative_state::AdministrativeState;
 use super::control::Controller;
@@ -176,6 +176,8 @@
     Drained,
     /// The quiet period after an attempt with an unknown result has not passed.
     Quiet,
+    /// The set-up would use a gateway as a tandem, or a tandem to reach a gateway.
+    Misrouted,
 }
 
 /// Counters since the start of the ledger.
@@ -684,8 +686,8 @@
         }
     }
 
-    /// Sends a set-up unless a rule forbids it. One blocked by the drain grace or the quiet period is reported
-    /// to the decision module as not sent.
+    /// Sends a set-up unless a rule forbids it. One that is blocked, other than as a second attempt, is reported to the
+    /// decision module as not sent.
     fn send_setup(&mut self, now: Micros, call: CallId, exchange_id: ExchangeId, timeout: Option<Micros>) {
         let Some(entry) = self.calls.get_mut(&call) else {
             *self.counts.blocked.entry(BlockReason::SecondAttempt).or_default() += 1;
@@ -708,6 +710,8 @@
             Some(BlockReason::Drained)
         } else if now < entry.quiet_until {
             Some(BlockReason::Quiet)
+        } else if !self.administrative_state.may_carry(exchange_id, entry.offered.new_call.destination) {
+            Some(BlockReason::Misrouted)
         } else {
             None
         };
@@ -784,3 +788,49 @@
         Ending::NotSent => "not_sent",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against review case 1: whatever the decision module chooses, a gateway gets only calls for itself, and
+    /// its calls pass through no tandem.
+    #[test]
+    fn a_set_up_through_a_tandem_from_or_to_a_gateway_is_blocked() {
+        let settings = Settings { max_attempts: 4, ..Settings::default() };
+        let mut ledger = Ledger::new(settings, 7);
+        let entry = |n: u8, kind| ListEntry {
+            exchange: ExchangeNumber(u16::from(n)),
+            kind,
+            zone: 0,
+            state: ListState::Ready,
+            exchange_id: ExchangeId { addr: [0, 0, 0, n], port: 0 },
+            last_start: None,
+        };
+        let (exchange, gateway) = (entry(1, ExchangeKind::Exchange), entry(2, ExchangeKind::Gateway));
+        ledger.list_update(0, ListUpdate::Cached([exchange.clone(), gateway.clone()].into()));
+        for (destination, target, sent) in
+            [(1, &exchange, true), (1, &gateway, false), (2, &gateway, true), (2, &exchange, false)]
+        {
+            let new_call = NewCall {
+                call: CallId(0),
+                destination: ExchangeNumber(destination),
+                transit: false,
+                redialled: false,
+                cut_before: false,
+                number: None,
+                circuits: 1,
+                remaining_time: 3_000_000,
+                class: 0,
+                via: None,
+                // The decision module holds the call until then, and the test sends the set-up in its place.
+                earliest_attempt: 100_000,
+            };
+            let call = ledger.offer(0, OfferedCall { frontend: FrontendId(0), new_call, description: None });
+            let attempts = ledger.counts().attempts;
+            ledger.send_setup(100_000, call, target.exchange_id, None);
+            assert_eq!(ledger.counts().attempts - attempts, u64::from(sent), "{destination} {target:?}");
+        }
+        assert_eq!(ledger.counts().blocked.get(&BlockReason::Misrouted), Some(&2));
+    }
+}
--- a/tests/appliance.rs
+++ b/tests/appliance.rs
@@ -63,7 +63,10 @@
     /// Starts the program and waits until every exchange is connected and has reported. Returns the program and its
     /// address for callers.
     fn start_and_wait(&self) -> (Program, SocketAddr) {
-        let program = self.start();
+        self.wait_until_started(self.start())
+    }
+
+    fn wait_until_started(&self, program: Program) -> (Program, SocketAddr) {
         let callers = program.listen_address("callers");
         program.wait_for_log("control socket at ");
         let mut operator = self.operator();
@@ -628,3 +631,20 @@
     operator.request("h", Operation::Halt).unwrap();
     assert_eq!(stage(&mut operator), "halted");
 }
+
+/// Guards against review case 1 in the cost of a drain: a gateway is no tandem, so a drained group has no other route.
+#[test]
+fn the_cost_of_a_drain_does_not_count_a_gateway_as_another_route() {
+    let site = Site::new(1, Duration::from_millis(300), "");
+    let gateway = temp_file(
+        "mgcp.toml",
+        "enabled = true\nlisten = \"127.0.0.1:0\"\nclass = \"status-report\"\n[[gateway]]\nname = \"cab\"\n\
+         address = \"127.0.0.1:9\"\nexchange = 101\nendpoints = [\"lamp/1\", \"lamp/2\"]\n",
+    );
+    let program = Program::start(&[("--appliance", &site.config_file), ("--mgcp", &gateway)], &[]);
+    let (_program, _) = site.wait_until_started(program);
+    let mut operator = site.operator();
+    let cost = Operation::Cost { target: "group:1".to_owned() };
+    let Body::Cost(cost) = operator.request("c", cost).unwrap() else { panic!() };
+    assert_eq!(cost.no_way, [1]);
+}
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
+use common::json_lines::{list_update, listener, member, open_message, sid, JsonConnection};
 use common::{config, temp_file, Program, TEST_TIMEOUT};
+use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 const SDP_A: &str = "v=0\r\no=- 1 1 IN IP4 127.0.0.1\r\nc=IN IP4 127.0.0.1\r\nm=audio 4000 RTP/AVP 0 8\r\n";
@@ -185,6 +187,15 @@
 }
 
 fn start(gateways: &[(&Gateway, u16, &str, usize, &str)], client_timeout_ms: u32) -> Running {
+    start_with(json!({}), gateways, client_timeout_ms)
+}
+
+/// Like [`start`], with these top-level keys in the configuration.
+fn start_with(
+    overrides: Value,
+    gateways: &[(&Gateway, u16, &str, usize, &str)],
+    client_timeout_ms: u32,
+) -> Running {
     let mut mgcp = format!(
         "enabled = true\nlisten = \"127.0.0.1:0\"\nclass = \"status-report\"\npatience_ms = {client_timeout_ms}\n"
     );
@@ -198,7 +209,7 @@
             names.join(",")
         );
     }
-    let config = temp_file("config.json", &config(serde_json::json!({})).to_string());
+    let config = temp_file("config.json", &config(overrides).to_string());
     let program = Program::start(&[("--config", &config), ("--mgcp", &temp_file("mgcp.toml", &mgcp))], &[]);
     let (callers, agent) = (program.listen_address("callers"), program.listen_address("gateways"));
     Running { _program: program, agent, callers }
@@ -418,3 +429,54 @@
     stream.set_read_timeout(Some(Duration::from_millis(400))).unwrap();
     assert!(reader.read(&mut [0; 1]).is_err());
 }
+
+/// A gateway with these endpoints as exchange 101, beside exchange 1 whose group has this many free circuits of 20.
+/// Returns the exchange's end of its connection.
+fn gateway_beside_exchange(endpoints: usize, free: u32) -> (Running, Gateway, JsonConnection) {
+    let mut gateway = Gateway::new("cab-a");
+    let exchange_listener: TcpListener = listener();
+    // The exchange started long ago, so that the limit of a cold start does not apply to it.
+    let mut exchange = member("s-1", exchange_listener.local_addr().unwrap(), 1, "up");
+    exchange["up_since_ms"] = json!(1);
+    let known = json!({"known": {"index": 1, "updates": [list_update(1, true, &[exchange])]}});
+    let program = start_with(known, &[(&gateway, 101, "1", endpoints, "connection")], 15_000);
+    gateway.agent = Some(program.agent);
+    gateway.complete_start(endpoints);
+    let mut connection = JsonConnection::new(exchange_listener.accept().unwrap().0);
+    let load = format!("x0:{free};x1:20;latency_ms:-1;qps:-1");
+    connection.send(json!({"msg": "status", "sid": "", "attrs": {"load": load}}));
+    (program, gateway, connection)
+}
+
+/// Guards against review case 1: calls for a full exchange were connected to endpoints of a gateway that nobody called.
+#[test]
+fn a_call_for_a_full_exchange_is_refused_and_not_set_up_at_a_gateway() {
+    let (program, mut gateway, _exchange) = gateway_beside_exchange(6, 0);
+    let mut caller = JsonConnection::connect(program.callers);
+    // The report that the group is full may arrive after the first set-up, which the exchange then does not answer.
+    std::thread::sleep(Duration::from_millis(300));
+    caller.send(open_message(&sid(7), 1, 3_000));
+    if let Some(command) = gateway.try_command(Duration::from_millis(1_500)) {
+        panic!("a call for exchange 1 was set up at the gateway: {command:?}");
+    }
+    let answer = caller.receive_for(&sid(7));
+    assert_eq!((answer["msg"].as_str(), answer["code"].as_u64()), (Some("close"), Some(34)), "{answer}");
+}
+
+/// Guards against the reverse of review case 1: no other exchange has a group to a gateway, so none can pass a call on.
+#[test]
+fn a_call_for_a_busy_gateway_is_not_sent_through_an_exchange() {
+    let (program, mut gateway, exchange) = gateway_beside_exchange(1, 20);
+    let mut caller = JsonConnection::connect(program.callers);
+    caller.send(open_message(&sid(7), 101, 3_000));
+    let crcx = gateway.command("CRCX");
+    gateway.respond_with_connection(&crcx, 200, "aa1", SDP_B);
+    assert_eq!(caller.receive_for(&sid(7))["msg"], "ready");
+    caller.send(open_message(&sid(8), 101, 3_000));
+    let answer = caller.receive_for(&sid(8));
+    assert_eq!((answer["msg"].as_str(), answer["code"].as_u64()), (Some("close"), Some(34)), "{answer}");
+    // Only probes of the silent connection may arrive.
+    exchange.stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    let messages: Vec<String> = exchange.reader.lines().map_while(Result::ok).collect();
+    assert!(!messages.iter().any(|m| m.contains("\"open\"")), "{messages:?}");
+}
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -31,7 +31,8 @@
 }
 
 fn entry(n: u16, state: ListState) -> ListEntry {
-    ListEntry { exchange: ExchangeNumber(n), zone: 0, state, exchange_id: exchange_id(n), last_start: None }
+    let (kind, exchange_id) = (ExchangeKind::Exchange, exchange_id(n));
+    ListEntry { exchange: ExchangeNumber(n), kind, zone: 0, state, exchange_id, last_start: None }
 }
 
 // ---- Lines ----
--- a/tests/out_of_service.rs
+++ b/tests/out_of_service.rs
@@ -43,6 +43,7 @@
     let mut ledger = Ledger::new(settings, 7);
     let entry = |n| ListEntry {
         exchange: ExchangeNumber(n),
+        kind: ExchangeKind::Exchange,
         zone: 0,
         state: ListState::Ready,
         exchange_id: exchange_id(n as u8),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -46,6 +46,7 @@
 fn entry(n: u16) -> ListEntry {
     ListEntry {
         exchange: ExchangeNumber(n),
+        kind: ExchangeKind::Exchange,
         zone: 0,
         state: ListState::Ready,
         exchange_id: exchange_id(n),
@@ -161,6 +162,30 @@
     assert_eq!(used, [exchange_id(2), exchange_id(3), exchange_id(4)]);
 }
 
+/// Guards against review case 1: calls for a full exchange were set up at endpoints of a gateway as if it were a tandem.
+#[test]
+fn a_gateway_is_reached_directly_and_is_never_a_tandem() {
+    let with_gateway = || {
+        let mut bed = Testbed::new();
+        let gateway = ListEntry { kind: ExchangeKind::Gateway, ..entry(4) };
+        bed.handle(Event::List(ListUpdate::Changes([gateway].into())));
+        bed
+    };
+    let mut bed = with_gateway();
+    bed.handle(group_report(1, 0.0));
+    let used: Vec<ExchangeId> = (1..4).flat_map(|id| setups(&bed.call(id, 1))).collect();
+    assert_eq!(used, [exchange_id(2), exchange_id(3), exchange_id(2)]);
+    // A call for the own exchange, which only a tandem can carry, must not come back through the gateway either.
+    let mut bed = with_gateway();
+    (1..4).for_each(|n| drop(bed.handle(group_report(n, 0.0))));
+    assert!(setups(&bed.call(1, 0)).is_empty());
+    // Calls for the gateway itself go there directly, or not at all: no exchange has a group to it.
+    let mut bed = with_gateway();
+    assert_eq!(setups(&bed.call(1, 4)), [exchange_id(4)]);
+    bed.handle(group_report(4, 0.0));
+    assert!(setups(&bed.call(2, 4)).is_empty());
+}
+
 #[test]
 fn tandem_route_keeps_headroom_on_its_first_leg() {
     let mut bed = Testbed::new();
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -57,6 +57,7 @@
     let mut ledger = Ledger::new(Settings::default(), 7);
     let entry = ListEntry {
         exchange: ExchangeNumber(1),
+        kind: ExchangeKind::Exchange,
         zone: 0,
         state: ListState::Ready,
         exchange_id: ExchangeId::default(),
