Start the identifiers of each run from the system's random numbers

Cause: the call agent started its transaction identifiers from the seed, which is the process number if the configuration has none. Evidence: in the record of the case process 6601 begins with DLCX 6602 and its successor 6607 with DLCX 6608, to which the gateway repeats an old response. With a seed in the configuration it is worse: both runs begin with the same identifier.

Change: a run draws a number from the system (RunId). Transaction, request and call identifiers towards gateways, the names of gateways' calls at exchanges and the trace identifiers start from it; without a seed the decisions' random numbers come from the system too. The start logs the first transaction identifier.

Why this works: nothing that stays the same over a restart has a part in the identifiers any more.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -591,7 +591,9 @@
 
 fn seed(v: Option<&Value>) -> Result<u64, ConfigError> {
     match v {
-        None | Some(Value::Null) => Ok(u64::from(std::process::id())),
+        None | Some(Value::Null) => {
+            getrandom::u64().map_err(|e| invalid("seed", format!("found none, and the system has none: {e}")))
+        }
         Some(Value::String(hex)) => u64::from_str_radix(hex, 16)
             .map_err(|e| invalid("seed", format!("found {hex:?}, expected a hexadecimal number: {e}"))),
         Some(v) => v.as_u64().ok_or_else(|| invalid("seed", format!("found {v}, expected a number"))),
--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -16,6 +16,7 @@
 use crate::protocol::membership::{MemberAddress, MemberIds};
 use crate::protocol::mgcp::agent::{Agent, AgentOutput, AgentTimer};
 use crate::protocol::otlp::{CallSpan, MetricsSnapshot};
+use crate::protocol::run_id::RunId;
 use crate::protocol::upstream::{UpstreamConnections, UpstreamOutput, UpstreamTimer};
 use crate::protocol::ConnId;
 use crate::routing::interface::{CallId, ListEntry, ListUpdate, LoadReport, Micros, PeerNumber};
@@ -131,13 +132,14 @@
 }
 
 impl EventLoop {
-    /// Creates the event loop with the last known exchange list and no saved state.
-    pub fn new(config: &Config, now: Micros) -> Self {
-        EventLoop::resume(config, now, None, None)
-    }
-
     /// Creates the event loop with the last known exchange list and the state that an earlier run saved.
-    pub fn resume(config: &Config, now: Micros, saved: Option<Saved>, log: Option<Rc<log::Log>>) -> Self {
+    pub fn resume(
+        config: &Config,
+        run_id: RunId,
+        now: Micros,
+        saved: Option<Saved>,
+        log: Option<Rc<log::Log>>,
+    ) -> Self {
         let s = &config.settings;
         let appliance = config
             .appliance
@@ -153,7 +155,7 @@
             )
             .with_quiet_period(s.quiet_period + s.min_batch_interval),
             upstream: UpstreamConnections::new(now, config.connect_timeout, config.settings.own_exchange),
-            agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAY_FRONTEND, m.agent.clone(), config.seed)),
+            agent: config.mgcp.as_ref().map(|m| Agent::new(GATEWAY_FRONTEND, m.agent.clone(), run_id)),
             appliance,
             gossip: config.gossip.as_ref().map(|g| Gossip::new(now, g, config.seed)),
             member_ids: MemberIds::new(config.failure_domains.clone()),
@@ -169,7 +171,7 @@
             latency_objectives: config.settings.classes.iter().map(|c| c.latency_objective).collect(),
             spans: Vec::new(),
             export_counts: Rc::default(),
-            sid_generator: config.seed,
+            sid_generator: run_id.0,
         };
         if let Some(t) = &event_loop.config.telemetry {
             event_loop.timers.add(now + t.interval, TimerKey::Export);
@@ -179,6 +181,11 @@
             event_loop.ledger.list_update(now, ListUpdate::Cached(gateways.into()));
         }
         if let Some(agent) = &mut event_loop.agent {
+            tracing::info!(
+                target: LOG_TARGET,
+                "gateways: transaction identifiers start at {}",
+                agent.next_transaction()
+            );
             agent.start(now);
         }
         for update in &config.initial_list_updates {
--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -7,6 +7,7 @@
 //! reports off-hook, or with the response to CRCX if the gateway answers by itself. DLCX clears a call, and an
 //! endpoint is free again only when its DLCX has been answered.
 
+use super::super::run_id::RunId;
 use super::super::upstream::lease::LEASE_DURATION;
 use super::codes;
 use super::message::{self, parse_events, Command, EndpointName, Message, Params, Response, Verb};
@@ -218,7 +219,7 @@
 
 impl Agent {
     /// Creates an agent; [`Agent::start`] sends the first commands.
-    pub fn new(frontend: FrontendId, config: AgentConfig, seed: u64) -> Self {
+    pub fn new(frontend: FrontendId, config: AgentConfig, run_id: RunId) -> Self {
         let mut endpoints = Vec::new();
         for (index, gateway) in config.gateways.iter().enumerate() {
             for local in &gateway.endpoints {
@@ -245,11 +246,11 @@
             next_endpoint: vec![0; n],
             originating_calls: BTreeMap::new(),
             terminating_calls: BTreeMap::new(),
-            transactions: CommandTransactions::new(seed),
+            transactions: CommandTransactions::new(run_id),
             history: ResponseHistory::default(),
-            // Start from the seed: gateways may still hold identifiers of the previous run.
-            next_mgcp_call_id: seed.rotate_left(17) | 1,
-            next_request_id: (seed >> 40) as u32,
+            // A gateway may hold connections of the previous run and send its notifications late.
+            next_mgcp_call_id: run_id.0.rotate_left(17) | 1,
+            next_request_id: (run_id.0 >> 32) as u32,
             outputs: Vec::new(),
             counts: AgentCounts::default(),
             config,
@@ -289,6 +290,11 @@
         self.counts
     }
 
+    /// The identifier of the next command's transaction.
+    pub fn next_transaction(&self) -> u32 {
+        self.transactions.next_id()
+    }
+
     /// Number of retransmitted commands, and of repeated commands that were answered again.
     pub fn repeats(&self) -> (u64, u64) {
         (self.transactions.retransmissions, self.history.repeated_commands)
--- a/src/protocol/mgcp/transactions.rs
+++ b/src/protocol/mgcp/transactions.rs
@@ -4,6 +4,7 @@
 //! gets the same response again and is not executed twice.
 
 use super::message::{Command, Params, Response, Verb, MAX_TRANSACTION_ID};
+use crate::protocol::run_id::RunId;
 use crate::routing::interface::Micros;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -59,10 +60,10 @@
 }
 
 impl<K> CommandTransactions<K> {
-    /// Creates an empty table. The first transaction identifier comes from the seed, so that a restarted program
+    /// Creates an empty table. The first transaction identifier comes from the run, so that a restarted program
     /// does not reuse the identifiers of the previous run.
-    pub fn new(seed: u64) -> Self {
-        let next_id = (seed % u64::from(MAX_TRANSACTION_ID)) as u32 + 1;
+    pub fn new(run_id: RunId) -> Self {
+        let next_id = (run_id.0 % u64::from(MAX_TRANSACTION_ID)) as u32 + 1;
         CommandTransactions {
             next_id,
             pending: BTreeMap::new(),
@@ -162,6 +163,11 @@
         Some(pending.deadline)
     }
 
+    /// The identifier of the next transaction.
+    pub fn next_id(&self) -> u32 {
+        self.next_id
+    }
+
     /// Number of commands that wait for a response.
     pub fn pending_count(&self) -> usize {
         self.pending.len()
@@ -280,7 +286,7 @@
 
     #[test]
     fn a_command_is_retransmitted_with_doubling_timeouts_and_then_given_up() {
-        let mut transactions = CommandTransactions::new(7);
+        let mut transactions = CommandTransactions::new(RunId(7));
         let (id, text, mut deadline) = transactions.send(0, address(1), audit_endpoint(), 'a');
         let mut timeouts = vec![deadline];
         loop {
@@ -308,7 +314,7 @@
 
     #[test]
     fn a_provisional_response_stops_retransmission_and_the_next_command_acknowledges_the_final_one() {
-        let mut transactions = CommandTransactions::new(7);
+        let mut transactions = CommandTransactions::new(RunId(7));
         let (id, _, deadline) = transactions.send(0, address(1), audit_endpoint(), 'a');
         let extended = transactions.handle_response(0, address(1), &Response::new(100, id)).deadline;
         assert_eq!(extended, Some(LONG_TRANSACTION_TIMEOUT));
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 pub mod membership;
 pub mod mgcp;
 pub mod otlp;
+pub mod run_id;
 pub mod server_events;
 pub mod simulator;
 pub mod text_settings;
--- a/src/protocol/otlp.rs
+++ b/src/protocol/otlp.rs
@@ -1,5 +1,6 @@
 //! OTLP export: encodes requests for metrics and spans, and interprets a collector's responses. It performs no I/O.
 
+use crate::protocol::run_id::RunId;
 use crate::routing::interface::Micros;
 use opentelemetry_proto::tonic::collector::metrics::v1::{
     ExportMetricsServiceRequest, ExportMetricsServiceResponse,
@@ -70,14 +71,14 @@
 pub struct Encoder {
     name: String,
     start: Micros,
-    seed: u64,
+    run_id: RunId,
 }
 
 impl Encoder {
-    /// Creates an encoder for an instance with this name and start time. The seed makes the span ids of its runs
-    /// distinct.
-    pub fn new(name: String, start: Micros, seed: u64) -> Self {
-        Encoder { name, start, seed }
+    /// Creates an encoder for an instance with this name and start time. The run makes its span ids distinct from
+    /// those of other runs.
+    pub fn new(name: String, start: Micros, run_id: RunId) -> Self {
+        Encoder { name, start, run_id }
     }
 
     fn resource(&self) -> Option<Resource> {
@@ -126,11 +127,11 @@
     /// Encodes the body of a trace request.
     pub fn spans(&self, calls: &[CallSpan]) -> Vec<u8> {
         let span = |c: &CallSpan| {
-            let id = self.seed.rotate_left(32) ^ u64::from(c.call);
+            let id = self.run_id.0.rotate_left(32) ^ u64::from(c.call);
             let failed = c.answer == "failed";
             let code = if failed { StatusCode::Error } else { StatusCode::Unset };
             Span {
-                trace_id: [self.seed.to_be_bytes(), id.to_be_bytes()].concat(),
+                trace_id: [self.run_id.0.to_be_bytes(), id.to_be_bytes()].concat(),
                 span_id: id.max(1).to_be_bytes().to_vec(),
                 name: "call".to_owned(),
                 kind: SpanKind::Server as i32,
@@ -224,7 +225,7 @@
             gauges: vec![("calls.open".to_owned(), 3)],
             calls: Vec::new(),
         };
-        let body = Encoder::new("n3".to_owned(), 1_000_000, 9).metrics(&s);
+        let body = Encoder::new("n3".to_owned(), 1_000_000, RunId(9)).metrics(&s);
         let decoded = ExportMetricsServiceRequest::decode(&body[..]).unwrap();
         let metrics = &decoded.resource_metrics[0].scope_metrics[0].metrics;
         assert_eq!(metrics[0].name, "walnuthatch.calls.offered");
@@ -237,7 +238,7 @@
     #[test]
     fn spans_have_distinct_ids_of_the_right_length() {
         let call = |call| CallSpan { call, start: 1, end: 2, destination: 4, answer: "failed" };
-        let body = Encoder::new("n3".to_owned(), 0, 9).spans(&[call(0), call(1)]);
+        let body = Encoder::new("n3".to_owned(), 0, RunId(9)).spans(&[call(0), call(1)]);
         let decoded = ExportTraceServiceRequest::decode(&body[..]).unwrap();
         let spans = &decoded.resource_spans[0].scope_spans[0].spans;
         assert_eq!((spans[0].trace_id.len(), spans[0].span_id.len()), (16, 8));
--- a/tests/call_agent.rs
+++ b/tests/call_agent.rs
@@ -8,6 +8,7 @@
 use walnuthatch::protocol::mgcp::agent::{Agent, AgentConfig, AgentOutput, AgentTimer, AnsweredBy, Gateway};
 use walnuthatch::protocol::mgcp::message::{parse, Message, Verb};
 use walnuthatch::protocol::mgcp::transactions::MAX_TRANSMISSIONS;
+use walnuthatch::protocol::run_id::RunId;
 use walnuthatch::routing::interface::*;
 use walnuthatch::routing::ledger::{Answer, FrontendId, SessionDescription};
 use walnuthatch::routing::timer_queue::TimerQueue;
@@ -261,7 +262,7 @@
             class: 0,
             client_timeout: 3_000 * MS,
         };
-        let mut agent = Agent::new(FrontendId(1), config, 5);
+        let mut agent = Agent::new(FrontendId(1), config, RunId(5));
         let exchange_id = agent.list_entries()[0].exchange_id;
         agent.start(0);
         let mut model = Model {
--- a/tests/gateways.rs
+++ b/tests/gateways.rs
@@ -6,6 +6,7 @@
 use common::json_lines::{list_update, listener, member, open_message, sid, JsonConnection};
 use common::{config, temp_file, Program, TEST_TIMEOUT};
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
@@ -209,6 +210,7 @@
             names.join(",")
         );
     }
+    mgcp += "[[route]]\nprefix = \"9\"\nexchange = 1\n";
     let config = temp_file("config.json", &config(overrides).to_string());
     let program = Program::start(&[("--config", &config), ("--mgcp", &temp_file("mgcp.toml", &mgcp))], &[]);
     let (callers, agent) = (program.listen_address("callers"), program.listen_address("gateways"));
@@ -434,18 +436,32 @@
 /// Returns the exchange's end of its connection.
 fn gateway_beside_exchange(endpoints: usize, free: u32) -> (Running, Gateway, JsonConnection) {
     let mut gateway = Gateway::new("cab-a");
-    let exchange_listener: TcpListener = listener();
-    // The exchange started long ago, so that the limit of a cold start does not apply to it.
-    let mut exchange = member("s-1", exchange_listener.local_addr().unwrap(), 1, "up");
-    exchange["up_since_ms"] = json!(1);
-    let known = json!({"known": {"index": 1, "updates": [list_update(1, true, &[exchange])]}});
-    let program = start_with(known, &[(&gateway, 101, "1", endpoints, "connection")], 15_000);
+    let exchange_listener = listener();
+    let program = start_with(
+        known_exchange(&exchange_listener),
+        &[(&gateway, 101, "1", endpoints, "connection")],
+        15_000,
+    );
     gateway.agent = Some(program.agent);
     gateway.complete_start(endpoints);
-    let mut connection = JsonConnection::new(exchange_listener.accept().unwrap().0);
+    let connection = accept_with_free_circuits(&exchange_listener, free);
+    (program, gateway, connection)
+}
+
+/// Configuration overrides that list exchange 1 at this listener.
+fn known_exchange(listener: &TcpListener) -> Value {
+    let mut exchange = member("s-1", listener.local_addr().unwrap(), 1, "up");
+    // The exchange started long ago, so that the limit of a cold start does not apply to it.
+    exchange["up_since_ms"] = json!(1);
+    json!({"known": {"index": 1, "updates": [list_update(1, true, &[exchange])]}})
+}
+
+/// Accepts a connection as an exchange whose group has this many free circuits of 20.
+fn accept_with_free_circuits(listener: &TcpListener, free: u32) -> JsonConnection {
+    let mut connection = JsonConnection::new(listener.accept().unwrap().0);
     let load = format!("x0:{free};x1:20;latency_ms:-1;qps:-1");
     connection.send(json!({"msg": "status", "sid": "", "attrs": {"load": load}}));
-    (program, gateway, connection)
+    connection
 }
 
 /// Guards against review case 1: calls for a full exchange were connected to endpoints of a gateway that nobody called.
@@ -480,3 +496,49 @@
     let messages: Vec<String> = exchange.reader.lines().map_while(Result::ok).collect();
     assert!(!messages.iter().any(|m| m.contains("\"open\"")), "{messages:?}");
 }
+
+/// Identifiers that the program has used towards a gateway and an exchange.
+#[derive(Debug, Default)]
+struct UsedIdentifiers {
+    /// Transaction, request (X) and call (C) identifiers at the gateway.
+    gateway: BTreeSet<(&'static str, String)>,
+    /// Names of the calls at the exchange.
+    sids: BTreeSet<String>,
+}
+
+/// Starts the program with this seed, has an endpoint call exchange 1, and returns the identifiers that were used.
+fn identifiers_of_one_run(seed: &Value, gateway: &mut Gateway, exchange: &TcpListener) -> UsedIdentifiers {
+    const ENDPOINTS: usize = 20;
+    let mut overrides = known_exchange(exchange);
+    overrides["seed"] = seed.clone();
+    let program = start_with(overrides, &[(&*gateway, 101, "1", ENDPOINTS, "off-hook")], 15_000);
+    gateway.agent = Some(program.agent);
+    gateway.received.clear();
+    gateway.complete_start(ENDPOINTS);
+    let mut connection = accept_with_free_circuits(exchange, 20);
+    gateway.dial("lamp/1", "9001");
+    let open = std::iter::from_fn(|| Some(connection.receive())).find(|m| m["msg"] == "open").unwrap();
+    let mut used = UsedIdentifiers::default();
+    used.sids.insert(open["sid"].as_str().unwrap().to_owned());
+    for command in &gateway.received {
+        used.gateway.insert(("transaction", command.transaction.clone()));
+        for name in ["X", "C"] {
+            used.gateway.extend(command.param(name).map(|value| (name, value.to_owned())));
+        }
+    }
+    used
+}
+
+/// Guards against review case 2: a restarted program repeated its transaction identifiers, so that the gateway repeated
+/// old responses and callers were connected to calls of the previous run.
+#[test]
+fn a_restarted_program_uses_no_identifier_of_the_previous_run() {
+    for seed in [json!("8c1f30d27a5be964"), Value::Null] {
+        let (mut gateway, exchange) = (Gateway::new("cab-a"), listener());
+        let first = identifiers_of_one_run(&seed, &mut gateway, &exchange);
+        let second = identifiers_of_one_run(&seed, &mut gateway, &exchange);
+        let repeated: Vec<_> = first.gateway.intersection(&second.gateway).collect();
+        assert!(repeated.is_empty(), "seed {seed}: {repeated:?}");
+        assert!(first.sids.is_disjoint(&second.sids), "seed {seed}: {first:?} {second:?}");
+    }
+}
