Keep waiting for a slow coordinator while asking it again

Cause: each request for the event stream was given up 3.9 s after its start, whatever the others did, and the next ones began from nothing, so that no slower answer was ever read. Evidence: the coordinator's record has 'the client has left' for each request at the time of its answer; each new request is for the events after 1, so that no event was skipped, and the log has only timeouts.

Change: a state machine without I/O decides on the requests. While no stream delivers data another one is sent every 1.5 s, and none is given up before five are open, which is after 7.5 s. The first that delivers is followed. A stream that falls silent stays open beside the new requests; it was closed after 2.5 s, with the same effect. Fetching the whole list keeps requests that already wait for it. The log names each request, each abandoned one and a silent stream.

Why this works: a new request serves a coordinator that could not be reached before, an old one a coordinator that is slow; neither takes the other's place any more.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 pub mod run_id;
 pub mod server_events;
 pub mod simulator;
+pub mod stream_requests;
 pub mod text_settings;
 pub mod upstream;
 
--- a/src/transport/coordinator.rs
+++ b/src/transport/coordinator.rs
@@ -2,31 +2,25 @@
 
 use super::Inbound;
 use crate::fault_injection::{fault_injected, InjectedFault};
-use crate::protocol::server_events::{ChunkedDecoder, EventReader, StreamError};
-use async_channel::{Receiver, Sender};
+use crate::protocol::server_events::{ChunkedDecoder, EventReader, ServerEvent, StreamError};
+use crate::protocol::stream_requests::{RequestEvent, RequestId, RequestOutput, StreamRequests};
+use crate::routing::interface::Micros;
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use std::future::Future;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::pin::{pin, Pin};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A stream that delivers no data for this long is closed; a live stream sends a comment each second.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Time limit for connecting and reading the response head.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(3_900);
-/// If there is no response after this time, another request is sent in parallel: the coordinator may have been
-/// unreachable when the first one was sent, or it may be slow.
-const PARALLEL_REQUEST_DELAY: Duration = Duration::from_millis(1_500);
-/// Maximum number of parallel requests.
-const MAX_PARALLEL_REQUESTS: u32 = 3;
-/// Delay before opening the stream again if the last attempt ended sooner than this.
-const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 /// Size of the read buffer.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Capacity of the queue from the requests to the task that follows them; requests wait while it is full.
+const PART_QUEUE_CAPACITY: usize = 16;
 
 #[derive(Debug, thiserror::Error)]
 enum StreamEnd {
@@ -38,16 +32,13 @@
     Status(Option<u16>),
     #[error("invalid response head: {0}")]
     Head(#[from] httparse::Error),
-    #[error("timed out")]
-    TimedOut,
     #[error("closed by the coordinator")]
     Closed,
-    #[error("interrupted by a command")]
-    Command(StreamCommand),
-    #[error("the program is shutting down")]
-    ShuttingDown,
 }
 
+/// The program is shutting down: nobody takes events any more.
+struct ShuttingDown;
+
 /// A command to the task that follows the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamCommand {
@@ -57,72 +48,180 @@
     Follow(Option<SocketAddr>),
 }
 
-/// Follows the stream for as long as the program runs. A new connection continues after the last event received, also
+/// What a request reports.
+enum StreamPart {
+    /// Data arrived after the response head, with these events; comments have none.
+    Data(Vec<ServerEvent>),
+    /// The request failed or its stream ended.
+    Ended(StreamEnd),
+}
+
+/// What the task that follows the stream waits for.
+enum Wakeup {
+    Command(StreamCommand),
+    Part(RequestId, StreamPart),
+    Timeout,
+}
+
+/// Follows the stream for as long as the program runs. A new request continues after the last event received, also
 /// at another address, since all addresses number the events alike; to fetch the whole list it starts at the first
 /// event.
 pub async fn follow(
-    mut address: Option<SocketAddr>,
-    mut last_event_id: u64,
+    address: Option<SocketAddr>,
+    last_event_id: u64,
     commands: Receiver<StreamCommand>,
     inbox: Sender<Inbound>,
+    executor: Rc<LocalExecutor<'static>>,
 ) {
+    let (parts, part_queue) = bounded(PART_QUEUE_CAPACITY);
+    let mut follower = Follower {
+        address,
+        last_event_id,
+        started: Instant::now(),
+        requests: StreamRequests::new(0),
+        tasks: BTreeMap::new(),
+        parts,
+        inbox,
+        executor,
+    };
     loop {
-        let started = Instant::now();
-        match follow_once(address, &mut last_event_id, &commands, &inbox).await {
-            StreamEnd::ShuttingDown => return,
-            StreamEnd::Command(StreamCommand::FetchList) => last_event_id = 0,
-            StreamEnd::Command(StreamCommand::Follow(new_address)) => {
-                address = new_address;
-                if fault_injected(InjectedFault::NewsMissedAfterReload) {
-                    last_event_id = u64::MAX / 2;
+        let wakeup = follower.wait(&commands, &part_queue).await;
+        if follower.handle(wakeup).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The requests for the stream and the task of each.
+struct Follower {
+    address: Option<SocketAddr>,
+    last_event_id: u64,
+    /// Start of the clock of `requests`.
+    started: Instant,
+    requests: StreamRequests,
+    /// Dropping a task closes its connection.
+    tasks: BTreeMap<RequestId, Task<()>>,
+    parts: Sender<(RequestId, StreamPart)>,
+    inbox: Sender<Inbound>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Follower {
+    fn now(&self) -> Micros {
+        Micros::try_from(self.started.elapsed().as_micros()).unwrap_or(Micros::MAX)
+    }
+
+    async fn wait(
+        &self,
+        commands: &Receiver<StreamCommand>,
+        parts: &Receiver<(RequestId, StreamPart)>,
+    ) -> Wakeup {
+        let command = async {
+            match commands.recv().await {
+                Ok(command) => Wakeup::Command(command),
+                // The sender is gone, so no command can follow.
+                Err(_) => future::pending().await,
+            }
+        };
+        let part = async {
+            match parts.recv().await {
+                Ok((id, part)) => Wakeup::Part(id, part),
+                Err(_) => future::pending().await,
+            }
+        };
+        let timeout = async {
+            if self.address.is_none() {
+                return future::pending().await;
+            }
+            let after = u64::try_from(self.requests.next_timeout()).unwrap_or(0);
+            Timer::at(self.started + Duration::from_micros(after)).await;
+            Wakeup::Timeout
+        };
+        future::or(command, future::or(part, timeout)).await
+    }
+
+    async fn handle(&mut self, wakeup: Wakeup) -> Result<(), ShuttingDown> {
+        let now = self.now();
+        match wakeup {
+            Wakeup::Command(command) => self.handle_command(now, command),
+            Wakeup::Timeout => self.requests.on_timeout(now),
+            Wakeup::Part(id, StreamPart::Data(events)) => {
+                if self.requests.handle(now, id, RequestEvent::Delivered) {
+                    self.carry_out_requests().await?;
+                    self.pass_on(events).await?;
                 }
-                continue;
             }
-            end => {
-                if inbox.send(Inbound::CoordinatorStream(Err(end.to_string()))).await.is_err() {
-                    return;
+            Wakeup::Part(id, StreamPart::Ended(reason)) => {
+                self.tasks.remove(&id);
+                if self.requests.handle(now, id, RequestEvent::Ended) {
+                    self.report(Err(reason.to_string())).await?;
                 }
             }
         }
-        if started.elapsed() < RECONNECT_DELAY {
-            Timer::after(RECONNECT_DELAY).await;
-        }
+        self.carry_out_requests().await
     }
-}
 
-async fn with_timeout<T>(
-    limit: Duration,
-    work: impl Future<Output = Result<T, StreamEnd>>,
-) -> Result<T, StreamEnd> {
-    let timeout = async {
-        Timer::after(limit).await;
-        Err(StreamEnd::TimedOut)
-    };
-    future::or(work, timeout).await
-}
+    fn handle_command(&mut self, now: Micros, command: StreamCommand) {
+        match command {
+            // The open requests are already for the whole list, and a coordinator may need its time to answer them.
+            StreamCommand::FetchList if self.last_event_id == 0 && !self.requests.is_following() => {}
+            StreamCommand::FetchList => {
+                self.last_event_id = 0;
+                self.requests.restart(now);
+            }
+            StreamCommand::Follow(address) => {
+                self.address = address;
+                self.requests.restart(now);
+                if fault_injected(InjectedFault::NewsMissedAfterReload) {
+                    self.last_event_id = u64::MAX / 2;
+                }
+            }
+        }
+    }
 
-async fn follow_once(
-    address: Option<SocketAddr>,
-    last_event_id: &mut u64,
-    commands: &Receiver<StreamCommand>,
-    inbox: &Sender<Inbound>,
-) -> StreamEnd {
-    let command = async {
-        match commands.recv().await {
-            Ok(command) => StreamEnd::Command(command),
-            // The sender is gone, so no command can follow.
-            Err(_) => future::pending().await,
+    async fn carry_out_requests(&mut self) -> Result<(), ShuttingDown> {
+        for output in self.requests.take_outputs() {
+            match output {
+                RequestOutput::Send(id) => self.send_request(id),
+                RequestOutput::Abandon(id) => {
+                    tracing::debug!("coordinator: request {id:?} abandoned");
+                    self.tasks.remove(&id);
+                }
+                RequestOutput::Follow(_) => self.report(Ok(())).await?,
+                RequestOutput::Silent(_) => self.report(Err("the stream is silent".to_owned())).await?,
+            }
         }
-    };
-    let stream = async {
-        match address {
-            Some(address) => {
-                read_events(address, last_event_id, inbox).await.err().unwrap_or(StreamEnd::Closed)
+        Ok(())
+    }
+
+    fn send_request(&mut self, id: RequestId) {
+        let Some(address) = self.address else { return };
+        let (last_event_id, parts) = (self.last_event_id, self.parts.clone());
+        tracing::debug!("coordinator: request {id:?} for the events after {last_event_id}");
+        let request = async move {
+            let end = read_stream(address, last_event_id, id, &parts).await;
+            // The queue is closed only when the program ends.
+            let _ = parts.send((id, StreamPart::Ended(end))).await;
+        };
+        self.tasks.insert(id, self.executor.spawn(request));
+    }
+
+    async fn pass_on(&mut self, events: Vec<ServerEvent>) -> Result<(), ShuttingDown> {
+        for event in events {
+            let id = event.id;
+            // Skip repeated events: their content may be outdated by now.
+            if id.is_some_and(|id| id <= self.last_event_id) {
+                continue;
             }
-            None => future::pending().await,
+            self.inbox.send(Inbound::CoordinatorEvent(event)).await.map_err(|_| ShuttingDown)?;
+            self.last_event_id = id.unwrap_or(self.last_event_id);
         }
-    };
-    future::or(command, stream).await
+        Ok(())
+    }
+
+    async fn report(&self, state: Result<(), String>) -> Result<(), ShuttingDown> {
+        self.inbox.send(Inbound::CoordinatorStream(state)).await.map_err(|_| ShuttingDown)
+    }
 }
 
 /// A stream whose response head has been read.
@@ -133,36 +232,6 @@
     body: Vec<u8>,
 }
 
-/// Requests the stream from the event after `last_event_id` on, and sends further requests in parallel while there is
-/// no response. The first stream that opens is used, and the other requests are dropped.
-fn open_with_parallel_requests(
-    address: SocketAddr,
-    last_event_id: u64,
-    max_requests: u32,
-) -> Pin<Box<dyn Future<Output = Result<OpenStream, StreamEnd>>>> {
-    Box::pin(async move {
-        let mut first = pin!(with_timeout(OPEN_TIMEOUT, open(address, last_event_id)));
-        if max_requests <= 1 {
-            return first.await;
-        }
-        let delay = async {
-            Timer::after(PARALLEL_REQUEST_DELAY).await;
-            None
-        };
-        if let Some(result) = future::or(async { Some(first.as_mut().await) }, delay).await {
-            return result;
-        }
-        let mut second = open_with_parallel_requests(address, last_event_id, max_requests - 1);
-        let either =
-            future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
-        match either.await {
-            (_, Ok(stream)) => Ok(stream),
-            (true, Err(_)) => second.await,
-            (false, Err(_)) => first.await,
-        }
-    })
-}
-
 async fn open(address: SocketAddr, last_event_id: u64) -> Result<OpenStream, StreamEnd> {
     let mut stream = Async::<TcpStream>::connect(address).await?;
     let request = format!(
@@ -194,17 +263,31 @@
     }
 }
 
-async fn read_events(
+/// Requests the stream and reports its data until it ends; returns why it ended.
+async fn read_stream(
     address: SocketAddr,
-    last_event_id: &mut u64,
-    inbox: &Sender<Inbound>,
+    last_event_id: u64,
+    id: RequestId,
+    parts: &Sender<(RequestId, StreamPart)>,
+) -> StreamEnd {
+    let opened = match open(address, last_event_id).await {
+        Ok(opened) => opened,
+        Err(end) => return end,
+    };
+    match read_events(opened, id, parts).await {
+        Ok(()) => StreamEnd::Closed,
+        Err(end) => end,
+    }
+}
+
+async fn read_events(
+    opened: OpenStream,
+    id: RequestId,
+    parts: &Sender<(RequestId, StreamPart)>,
 ) -> Result<(), StreamEnd> {
-    let OpenStream { mut stream, chunked, body } =
-        open_with_parallel_requests(address, *last_event_id, MAX_PARALLEL_REQUESTS).await?;
-    inbox.send(Inbound::CoordinatorStream(Ok(()))).await.map_err(|_| StreamEnd::ShuttingDown)?;
+    let OpenStream { mut stream, chunked, body: mut bytes } = opened;
     let mut buffer = vec![0; READ_BUFFER_BYTES];
     let (mut chunks, mut reader) = (ChunkedDecoder::default(), EventReader::default());
-    let mut bytes = body;
     loop {
         let mut events = Vec::new();
         let finished = if chunked {
@@ -213,19 +296,11 @@
             reader.push(&bytes, &mut |event| events.push(event))?;
             false
         };
-        for event in events {
-            let id = event.id;
-            // Skip repeated events: their content may be outdated by now.
-            if id.is_some_and(|id| id <= *last_event_id) {
-                continue;
-            }
-            inbox.send(Inbound::CoordinatorEvent(event)).await.map_err(|_| StreamEnd::ShuttingDown)?;
-            *last_event_id = id.unwrap_or(*last_event_id);
-        }
-        if finished {
+        let queue_closed = !bytes.is_empty() && parts.send((id, StreamPart::Data(events))).await.is_err();
+        if finished || queue_closed {
             return Ok(());
         }
-        let length = with_timeout(IDLE_TIMEOUT, async { Ok(stream.read(&mut buffer).await?) }).await?;
+        let length = stream.read(&mut buffer).await?;
         if length == 0 {
             return Ok(());
         }
--- a/tests/common/json_lines.rs
+++ b/tests/common/json_lines.rs
@@ -194,6 +194,12 @@
         self.stream.write_all(head).unwrap();
     }
 
+    /// Sends the response head and an event; fails if the program has closed the connection.
+    pub fn try_send_response(&mut self, update: &Value) -> std::io::Result<()> {
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+        write!(self.stream, "{head}id: {}\ndata: {update}\n\n", update["index"])
+    }
+
     pub fn send_event(&mut self, update: &Value) {
         self.send_raw_event(update["index"].as_u64().unwrap(), &update.to_string());
     }
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -3,15 +3,19 @@
 mod common;
 
 use common::json_lines::*;
-use common::wait_until;
+use common::{wait_until, TEST_TIMEOUT};
 use serde_json::{json, Value};
 use std::net::TcpListener;
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Maximum time from the moment the coordinator can be reached again until a change of its list takes effect.
 const MAX_UPDATE_DELAY: Duration = Duration::from_secs(6);
 
+/// Maximum time after which a change counts as known, whether it has arrived or not.
+const MAX_KNOWN_DELAY: Duration = Duration::from_secs(7);
+
 /// Configuration overrides that name this coordinator.
 fn with_coordinator(listener: &TcpListener) -> Value {
     json!({"coordinator": listener.local_addr().unwrap().to_string()})
@@ -41,6 +45,57 @@
     wait_for_connection(&added);
 }
 
+/// Answers every request for the stream this long after it came, with the event in the answer. Sends the time of each
+/// request.
+fn answer_slowly(listener: TcpListener, delay: Duration, event: Value) -> mpsc::Receiver<Instant> {
+    let (requested, requests) = mpsc::channel();
+    thread::spawn(move || loop {
+        let mut stream = CoordinatorStream::accept_unanswered(&listener);
+        // The test may have ended.
+        let _ = requested.send(Instant::now());
+        let event = event.clone();
+        thread::spawn(move || {
+            thread::sleep(delay);
+            // The program may have given the request up, so writing may fail.
+            let _ = stream.try_send_response(&event);
+            thread::sleep(TEST_TIMEOUT);
+        });
+    });
+    requests
+}
+
+/// Guards against review case 3: each request was given up after 3.9 s, so that no slower answer was ever read and no
+/// drain heard. A change counts as known 7 s after the coordinator has it.
+#[test]
+fn an_answer_is_waited_for_as_long_as_a_change_may_take_to_be_known() {
+    let runs = [Duration::from_millis(4_500), Duration::from_millis(6_000)].map(|delay| {
+        thread::spawn(move || {
+            let (exchange_listener, coordinator_listener, added) = (listener(), listener(), listener());
+            let overrides = with_coordinator(&coordinator_listener);
+            let event = added_exchange(4, &added);
+            let requests = answer_slowly(coordinator_listener, delay, event);
+            let (_program, _, _exchanges) = start_program(&[&exchange_listener], overrides);
+            wait_for_connection(&added);
+            let since_first_request = requests.recv().unwrap().elapsed();
+            assert!(since_first_request < MAX_KNOWN_DELAY, "{delay:?}: {since_first_request:?}");
+        })
+    });
+    runs.into_iter().for_each(|run| run.join().unwrap());
+}
+
+/// Guards against review case 3 on an open stream: a stream that paused for longer than 2.5 s was closed, although a slow
+/// coordinator still sent on it, and each new one was given up in the same way.
+#[test]
+fn a_stream_that_pauses_is_still_read_while_new_requests_get_no_answer() {
+    let (exchange_listener, coordinator_listener, added) = (listener(), listener(), listener());
+    let (_program, _, _exchanges) =
+        start_program(&[&exchange_listener], with_coordinator(&coordinator_listener));
+    let mut stream = CoordinatorStream::accept(&coordinator_listener);
+    thread::sleep(Duration::from_millis(4_500));
+    stream.send_event(&added_exchange(4, &added));
+    wait_for_connection(&added);
+}
+
 /// A coordinator that hangs may recover while an old request stays open. A program that waits on that request only
 /// would learn of changes too late.
 #[test]
