Build new calls in one place

Cause: the eleven fields of NewCall were written out in seven places, five of them in tests and an example, though most calls differ in two or three. Change: NewCall::to makes a first try of class 0 over one circuit; the other places name what differs. No behaviour changed.

--- a/examples/gossip_tables.rs
+++ b/examples/gossip_tables.rs
@@ -338,19 +338,7 @@
         let mut to = self.rng.usize(0..SITES - 1);
         to += usize::from(to >= i);
         self.offered[usize::from(to != HUNG_SITE)] += 1;
-        let new_call = NewCall {
-            call: CallId(0),
-            destination: ExchangeNumber(to as u16),
-            transit: false,
-            redialled: false,
-            cut_before: false,
-            number: None,
-            circuits: 1,
-            remaining_time: 3_000_000,
-            class: 0,
-            via: None,
-            earliest_attempt: 0,
-        };
+        let new_call = NewCall::to(ExchangeNumber(to as u16), 3_000_000);
         self.sites[i]
             .ledger
             .offer(self.now, OfferedCall { frontend: FrontendId(0), new_call, description: None });
--- a/src/protocol/mgcp/agent.rs
+++ b/src/protocol/mgcp/agent.rs
@@ -619,17 +619,9 @@
                 self.endpoints[index].dialled_number = Some(number.clone());
                 self.endpoints[index].state = EndpointState::Offered(None);
                 let new_call = NewCall {
-                    call: CallId(0),
-                    destination,
-                    transit: false,
-                    redialled: false,
-                    cut_before: false,
                     number: number.parse().ok(),
-                    circuits: 1,
-                    remaining_time: (deadline - now).max(0),
                     class: self.config.class,
-                    via: None,
-                    earliest_attempt: 0,
+                    ..NewCall::to(destination, (deadline - now).max(0))
                 };
                 let offer = OfferedCall { frontend: self.frontend, new_call, description };
                 self.outputs.push(AgentOutput::OfferCall(index, Box::new(offer)));
--- a/src/routing/interface.rs
+++ b/src/routing/interface.rs
@@ -254,6 +254,26 @@
     pub earliest_attempt: Micros,
 }
 
+impl NewCall {
+    /// A first try of class 0 over one circuit, to a destination, by a caller who waits this long. The ledger assigns
+    /// its identifier.
+    pub fn to(destination: ExchangeNumber, remaining_time: Micros) -> Self {
+        NewCall {
+            call: CallId(0),
+            destination,
+            transit: false,
+            redialled: false,
+            cut_before: false,
+            number: None,
+            circuits: 1,
+            remaining_time,
+            class: 0,
+            via: None,
+            earliest_attempt: 0,
+        }
+    }
+}
+
 /// Everything that operators have taken out of service. The list and the load reports also show it, as draining
 /// exchanges and full groups; this tells the decision module that calls need not wait for them.
 #[derive(Clone, Debug, PartialEq, Eq, Default)]
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -813,18 +813,9 @@
             [(1, &exchange, true), (1, &gateway, false), (2, &gateway, true), (2, &exchange, false)]
         {
             let new_call = NewCall {
-                call: CallId(0),
-                destination: ExchangeNumber(destination),
-                transit: false,
-                redialled: false,
-                cut_before: false,
-                number: None,
-                circuits: 1,
-                remaining_time: 3_000_000,
-                class: 0,
-                via: None,
                 // The decision module holds the call until then, and the test sends the set-up in its place.
                 earliest_attempt: 100_000,
+                ..NewCall::to(ExchangeNumber(destination), 3_000_000)
             };
             let call = ledger.offer(0, OfferedCall { frontend: FrontendId(0), new_call, description: None });
             let attempts = ledger.counts().attempts;
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -984,19 +984,7 @@
 
 /// A call to the given exchange with the given remaining time.
 fn new_call(to: u16, remaining_time: Micros) -> NewCall {
-    NewCall {
-        call: CallId(0),
-        destination: ExchangeNumber(to),
-        transit: false,
-        redialled: false,
-        cut_before: false,
-        number: None,
-        circuits: 1,
-        remaining_time,
-        class: 0,
-        via: None,
-        earliest_attempt: 0,
-    }
+    NewCall::to(ExchangeNumber(to), remaining_time)
 }
 
 struct LedgerModel {
--- a/tests/out_of_service.rs
+++ b/tests/out_of_service.rs
@@ -56,19 +56,7 @@
 }
 
 fn offer(ledger: &mut Ledger, now: Micros, destination: u16) -> (CallId, Vec<Output>) {
-    let new_call = NewCall {
-        call: CallId(0),
-        destination: ExchangeNumber(destination),
-        transit: false,
-        redialled: false,
-        cut_before: false,
-        number: None,
-        circuits: 1,
-        remaining_time: 3_000_000,
-        class: 0,
-        via: None,
-        earliest_attempt: 0,
-    };
+    let new_call = NewCall::to(ExchangeNumber(destination), 3_000_000);
     let call = ledger.offer(now, OfferedCall { frontend: FrontendId(0), new_call, description: None });
     (call, ledger.take_outputs())
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -60,19 +60,7 @@
 }
 
 fn call(id: u32, destination: u16) -> NewCall {
-    NewCall {
-        call: CallId(id),
-        destination: ExchangeNumber(destination),
-        transit: false,
-        redialled: false,
-        cut_before: false,
-        number: None,
-        circuits: 1,
-        remaining_time: 3 * S,
-        class: 0,
-        via: None,
-        earliest_attempt: 0,
-    }
+    NewCall { call: CallId(id), ..NewCall::to(ExchangeNumber(destination), 3 * S) }
 }
 
 fn outcome(id: u32, attempt: u8, exchange: u16, ending: Ending, cause: Cause) -> Outcome {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -9,19 +9,7 @@
 const KILL_DELAY: Micros = 700 * MS;
 
 fn offer(remaining_time: Micros) -> OfferedCall {
-    let new_call = NewCall {
-        call: CallId(0),
-        destination: ExchangeNumber(1),
-        transit: false,
-        redialled: false,
-        cut_before: false,
-        number: None,
-        circuits: 1,
-        remaining_time,
-        class: 0,
-        via: None,
-        earliest_attempt: 0,
-    };
+    let new_call = NewCall::to(ExchangeNumber(1), remaining_time);
     OfferedCall { frontend: FrontendId(0), new_call, description: None }
 }
 
