--- a/src/routing/control/mod.rs
+++ b/src/routing/control/mod.rs
@@ -63,8 +63,7 @@
 const OVERTAKEN_SHARE: f64 = 0.45;
 /// Maximum of a concurrency limit when few set-ups are sent; see [`Controller::max_limit`].
 const BASE_LIMIT: f64 = 5.0;
-/// Set-up time above which a concurrency limit is reduced, as a share of the mean latency objective. 0.15 scored the
-/// same, 0.25 lower.
+/// Set-up time above which a concurrency limit is reduced, as a share of the mean latency objective.
 const TARGET_DELAY_SHARE: f64 = 0.2;
 /// Window over which the rate of set-ups is measured (µs).
 const RATE_WINDOW: Micros = 8_000_000;
--- a/src/routing/control/route.rs
+++ b/src/routing/control/route.rs
@@ -3,8 +3,7 @@
 use super::*;
 use crate::fault_injection::{fault_injected, InjectedFault};
 
-/// Tandems are taken in plain rotation while the success rate of untested paths is at least this; 0.35 and 0.6 both
-/// scored lower.
+/// Tandems are taken in plain rotation while the success rate of untested paths is at least this.
 const MIN_UNTESTED_SUCCESS_RATE: f64 = 0.5;
 /// An exchange with at least this fault rate is used as a tandem only where no other one is available.
 const MAX_TANDEM_FAULT_RATE: f64 = 0.25;
