--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -9,9 +9,9 @@
 use super::console;
 use super::counters::{self, WireCounts};
 use super::gossip::Gossip;
-use super::log::{self, CALLS_TARGET, CONNECTIONS_TARGET};
+use super::log::{self, CONNECTIONS_TARGET};
 use super::telemetry::ExportCounters;
-use crate::protocol::client::{ClientConnections, ClientOutput, ClientRequest, ClientTimer, RepeatedOffer};
+use crate::protocol::client::{ClientConnections, ClientTimer};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::membership::{MemberAddress, MemberIds};
 use crate::protocol::mgcp::agent::{Agent, AgentOutput, AgentTimer};
@@ -20,7 +20,7 @@
 use crate::protocol::upstream::{UpstreamConnections, UpstreamOutput, UpstreamTimer};
 use crate::protocol::ConnId;
 use crate::routing::interface::{CallId, ListEntry, ListUpdate, LoadReport, Micros, PeerNumber};
-use crate::routing::ledger::{AnswerReason, FrontendId, Ledger, LedgerTimer, OfferedCall, Output};
+use crate::routing::ledger::{FrontendId, Ledger, LedgerTimer, Output};
 use crate::routing::timer_queue::TimerQueue;
 use crate::transport::outbox::Outbox;
 use crate::transport::saver::SaveRequest;
@@ -32,6 +32,7 @@
 use walnuthatch_drains::saved::Saved;
 use walnuthatch_drains::target::Now;
 
+mod callers;
 mod exports;
 mod gossip;
 mod operators;
@@ -401,45 +402,6 @@
         self.callers.opened(now, conn);
     }
 
-    fn handle_caller_message(&mut self, now: Micros, conn: ConnId, message: Message) {
-        match self.callers.message(now, conn, message) {
-            ClientRequest::Offer(sid, key, offer) => self.offer_call(now, conn, sid, key, *offer),
-            ClientRequest::Clear(call) => {
-                tracing::debug!(
-                    target: CALLS_TARGET,
-                    call = call.0,
-                    conn = conn.0,
-                    "call abandoned or released by its caller"
-                );
-                self.ledger.caller_left(now, call);
-            }
-            ClientRequest::ReleasePreviousRun(sid) => self.upstream.release_previous_run(sid),
-            ClientRequest::Probe(sid) => {
-                let ready = self.upstream.all_contacted() || now - self.started_at >= STARTUP_GRACE;
-                let draining =
-                    self.draining || self.appliance.as_ref().is_some_and(Appliance::fails_health_checks);
-                let code = u16::from(ready && self.stopping.is_none() && !draining);
-                let message = Message { code: Some(code), ..Message::new(Kind::Probed, sid) };
-                self.send(Side::Callers, conn, None, &message);
-            }
-            ClientRequest::None => {}
-        }
-    }
-
-    fn offer_call(&mut self, now: Micros, conn: ConnId, sid: Sid, key: Option<Value>, offer: OfferedCall) {
-        let (class, left) = (offer.new_call.class, offer.new_call.remaining_time);
-        tracing::debug!(target: CALLS_TARGET, %sid, conn = conn.0, class, left, "call accepted");
-        let call = self.ledger.offer(now, offer);
-        self.callers.call_offered(conn, sid, key, call);
-    }
-
-    /// Offers a set-up that was held until its sid became free.
-    fn offer_repeated(&mut self, now: Micros, sid: Sid) {
-        if let Some(RepeatedOffer { conn, key, offer }) = self.callers.take_repeated(now, sid) {
-            self.offer_call(now, conn, sid, key, offer);
-        }
-    }
-
     fn handle_list_event(&mut self, now: Micros, json: &str, cached: bool) {
         self.counts.list_events += 1;
         let update = match self.member_ids.parse_event(json, cached) {
@@ -617,22 +579,6 @@
         }
     }
 
-    fn handle_caller_output(&mut self, now: Micros, output: ClientOutput) {
-        let outbox = |conn| self.outboxes.get(&(Side::Callers, conn));
-        match output {
-            ClientOutput::Send(conn, message) => self.send(Side::Callers, conn, None, &message),
-            ClientOutput::Fail(call) => self.ledger.fail_call(now, call, AnswerReason::ConnectionEnding),
-            ClientOutput::OfferRepeated(sid) => self.offer_repeated(now, sid),
-            ClientOutput::Closing(conn, reason) => {
-                tracing::debug!(target: CONNECTIONS_TARGET, conn = conn.0, "closing the caller's connection: {reason:?}");
-            }
-            ClientOutput::StopReading(conn) => drop(outbox(conn).map(Outbox::stop_reading)),
-            ClientOutput::Close(conn) => drop(outbox(conn).map(Outbox::close)),
-            ClientOutput::Abort(conn) => drop(outbox(conn).map(Outbox::abort)),
-            ClientOutput::SetTimer(at, timer) => self.timers.add(at, TimerKey::Client(timer)),
-        }
-    }
-
     fn handle_agent_output(&mut self, now: Micros, output: AgentOutput) {
         match output {
             AgentOutput::Datagram(to, body) => {
