--- a/src/program/log.rs
+++ b/src/program/log.rs
@@ -141,10 +141,11 @@
         }
         Output::SetUp { call, attempt, timeout, exchange_id } => {
             let (attempt, address) = (attempt.0, u32::from_be_bytes(exchange_id.addr));
-            let exchange = ledger.administrative_state().exchange_of(*exchange_id).map(|e| e.0);
-            let destination = ledger.offered_call(*call).map(|o| o.new_call.destination.0);
+            // Looked up within the macro, which evaluates its fields only if the line is logged.
             tracing::debug!(
-                target: CALLS_TARGET, sid, call = call.0, attempt, office = address, exchange, destination,
+                target: CALLS_TARGET, sid, call = call.0, attempt, office = address,
+                exchange = ledger.administrative_state().exchange_of(*exchange_id).map(|e| e.0),
+                destination = ledger.offered_call(*call).map(|o| o.new_call.destination.0),
                 wait = timeout, "set-up sent"
             );
         }
