--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -45,7 +45,8 @@
         self.start.elapsed().as_millis() as u64
     }
     pub fn line(&self, text: &str) {
-        let line = format!("{:6} ms  {}\n", self.now(), text.trim_end().replace('\r', "").replace('\n', " | "));
+        let line =
+            format!("{:6} ms  {}\n", self.now(), text.trim_end().replace('\r', "").replace('\n', " | "));
         drop(self.file.lock().unwrap().write_all(line.as_bytes()));
     }
     /// Writes the verdict and returns the exit status.
@@ -80,11 +81,14 @@
 impl Site {
     pub fn open(record: &Record) -> Site {
         let var = |name: &str| {
-            std::env::var(name).map(PathBuf::from).unwrap_or_else(|_| could_not_run(&format!("{name} is not set")))
+            std::env::var(name)
+                .map(PathBuf::from)
+                .unwrap_or_else(|_| could_not_run(&format!("{name} is not set")))
         };
         let (root, folder) = (var("ROOT"), var("FOLDER"));
         let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).unwrap_or_default();
-        let run = deploy.lines().find_map(|l| l.strip_prefix("run = \"")?.strip_suffix('"').map(str::to_owned));
+        let run =
+            deploy.lines().find_map(|l| l.strip_prefix("run = \"")?.strip_suffix('"').map(str::to_owned));
         let run = run.unwrap_or_else(|| could_not_run("deploy/balancer.toml has no run"));
         Site { root, folder, run, record: record.clone() }
     }
@@ -97,7 +101,9 @@
 
 /// A free loopback address. Nothing listens there when this returns.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| could_not_run(&e.to_string()))
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| could_not_run(&e.to_string()))
 }
 
 /// An exchange in the coordinator's list.
@@ -212,7 +218,10 @@
 fn probe(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(address) else { return false };
     drop(stream.set_read_timeout(Some(ms(500))));
-    if stream.write_all(b"{\"msg\":\"probe\",\"sid\":\"00000000000000aa\",\"attrs\":{},\"code\":0}\n").is_err() {
+    if stream
+        .write_all(b"{\"msg\":\"probe\",\"sid\":\"00000000000000aa\",\"attrs\":{},\"code\":0}\n")
+        .is_err()
+    {
         return false;
     }
     let mut line = String::new();
@@ -289,6 +298,12 @@
     pub refusing: AtomicBool,
     /// The number of further connections that are reset soon after they were opened.
     pub reset_new: AtomicU64,
+    /// The time from a set-up to its answer (ms).
+    pub answer_delay_ms: AtomicU64,
+    /// Set-ups from this number on lead to calls that stand for 1.5 s only; 0: none.
+    pub short_from: AtomicU64,
+    /// Of so many answers one arrives spoilt; 0: none.
+    pub spoil_one_in: AtomicU64,
     /// A release that arrives is lost, and its connection is reset.
     pub lose_release: AtomicBool,
     pub streams: Mutex<Vec<Option<TcpStream>>>,
@@ -321,6 +336,14 @@
             }
         }
     }
+    /// Closes all connections in an orderly way.
+    pub fn close_all(&self) {
+        for (index, slot) in self.streams.lock().unwrap().iter_mut().enumerate() {
+            if slot.take().is_some() {
+                self.record.line(&format!("{}: closes its connection {index}", self.name));
+            }
+        }
+    }
     pub fn standing(&self) -> Vec<String> {
         self.state.lock().unwrap().standing.keys().cloned().collect()
     }
@@ -337,6 +360,9 @@
             hanging: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             reset_new: AtomicU64::new(0),
+            answer_delay_ms: AtomicU64::new(0),
+            short_from: AtomicU64::new(0),
+            spoil_one_in: AtomicU64::new(0),
             lose_release: AtomicBool::new(false),
             streams: Mutex::default(),
         });
@@ -385,7 +411,8 @@
         let over: Vec<String> = {
             let mut state = shared.state.lock().unwrap();
             let now = Instant::now();
-            let over: Vec<String> = state.standing.iter().filter(|c| *c.1 <= now).map(|c| c.0.clone()).collect();
+            let over: Vec<String> =
+                state.standing.iter().filter(|c| *c.1 <= now).map(|c| c.0.clone()).collect();
             for sid in &over {
                 state.standing.remove(sid);
                 state.ended.insert(sid.clone(), (shared.record.now(), "came to its end"));
@@ -433,7 +460,7 @@
     let mut chunk = [0; 16384];
     loop {
         if shared.streams.lock().unwrap()[index].is_none() {
-            reset(&stream);
+            // The slot was emptied by `reset_all`, which has set how the connection ends, or by `close_all`.
             return;
         }
         if reset_after.is_some_and(|at| Instant::now() >= at) {
@@ -484,8 +511,21 @@
             {
                 let mut state = shared.state.lock().unwrap();
                 state.opens += 1;
-                state.standing.insert(sid.clone(), Instant::now() + shared.hold);
+                let short_from = shared.short_from.load(Ordering::SeqCst);
+                let short = short_from > 0 && state.opens >= short_from;
+                let hold = if short { ms(1_500) } else { shared.hold };
+                state.standing.insert(sid.clone(), Instant::now() + hold);
+            }
+            let one_in = shared.spoil_one_in.load(Ordering::SeqCst);
+            let opens = shared.state.lock().unwrap().opens;
+            // A fixed sequence without a rhythm (splitmix64).
+            if one_in > 0 && mix(opens) % one_in == 0 {
+                shared
+                    .record
+                    .line(&format!("{}: set-up {sid}, answers with a line that can't be read", shared.name));
+                return Some("{\"msg\":\"ready\",\"sid\":\"#\u{1}\n".to_owned());
             }
+            sleep(ms(shared.answer_delay_ms.load(Ordering::SeqCst)));
             shared.record.line(&format!("{}: set-up {sid}, answers: the call stands", shared.name));
             let ready = format!(
                 "{{\"msg\":\"ready\",\"sid\":\"{sid}\",\"attrs\":{{}},\"text\":\"{sid} answered by {}\"}}\n",
@@ -540,6 +580,7 @@
     record: Record,
     stream: Arc<Mutex<TcpStream>>,
     pub seen: Arc<Mutex<BTreeMap<String, Seen>>>,
+    pub ended: Arc<AtomicBool>,
 }
 
 impl Caller {
@@ -555,7 +596,8 @@
         let stream = TcpStream::connect(address).ok()?;
         drop(stream.set_nodelay(true));
         let reader = BufReader::new(stream.try_clone().ok()?);
-        let caller = Caller { record: record.clone(), stream: Arc::new(Mutex::new(stream)), seen };
+        let (stream, ended) = (Arc::new(Mutex::new(stream)), Arc::default());
+        let caller = Caller { record: record.clone(), stream, seen, ended };
         let copy = caller.clone();
         std::thread::spawn(move || copy.read(reader));
         Some(caller)
@@ -577,6 +619,7 @@
                 _ => {}
             }
         }
+        self.ended.store(true, Ordering::SeqCst);
         self.record.line("caller: the connection has ended");
     }
     pub fn open(&self, sid: &str, destination: u16, left: u64) {
@@ -620,3 +663,11 @@
 pub fn sid(n: u64) -> String {
     format!("{:016x}", 0x9b1f_03aa_5c7e_0000 + n)
 }
+
+/// The n-th number of a fixed pseudo-random sequence.
+pub fn mix(n: u64) -> u64 {
+    let mut z = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Runs one case: run-case.sh CASE-FOLDER STAND-IN [ARGUMENT...]. Exits with 1 if the rule was broken, 0 if it held, and 2
-# if the case couldn't run. TROUBLE=0 leaves out the disruption.
+# Runs one case: run-case.sh CASE-FOLDER STAND-IN [ARGUMENT...]. Exits with 1 if the rule was broken, 0 if it held,
+# and 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 case=$1 standin=$2
 shift 2
--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -21,7 +21,8 @@
     let file = site.write("config.json", &config(listen, &members));
     let mut controller = Controller::start(&site, &file, "");
     controller.wait_ready(listen);
-    let connect = |seen| Caller::connect_with(listen, &record, seen).unwrap_or_else(|| could_not_run("no connection"));
+    let connect =
+        |seen| Caller::connect_with(listen, &record, seen).unwrap_or_else(|| could_not_run("no connection"));
     let first = connect(Default::default());
     let call = sid(0);
     let start = Instant::now();
@@ -64,9 +65,13 @@
     let closes = first.of(&call).closes;
     let broken = match closes.iter().any(|c| c.0 <= at + 8_050) {
         true => Vec::new(),
-        false => vec![format!("{call} came to its end at its exchange at {at} ms, and its caller is not told within 8 s")],
+        false => vec![format!(
+            "{call} came to its end at its exchange at {at} ms, and its caller is not told within 8 s"
+        )],
     };
     let answered = first.seen.lock().unwrap().values().filter(|s| !s.ready.is_empty()).count();
-    let summary = format!("{answered} calls stood; the one at exchange 1 ended at {at} ms, its caller was told: {closes:?}");
+    let summary = format!(
+        "{answered} calls stood; the one at exchange 1 ended at {at} ms, its caller was told: {closes:?}"
+    );
     record.verdict(&broken, &summary)
 }
