--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -113,7 +113,9 @@
                 });
                 match matches.then(|| state.connections.remove(&endpoint)).flatten() {
                     Some(connection) => {
-                        self.record.line(&format!("gateway: {endpoint}: its connection is deleted, the call is over"));
+                        self.record.line(&format!(
+                            "gateway: {endpoint}: its connection is deleted, the call is over"
+                        ));
                         state.deleted.push((endpoint.clone(), connection, now));
                         format!("250 {transaction} OK\r\n")
                     }
@@ -167,7 +169,9 @@
     let gateway = Gateway::start(&record);
     let exchange = Exchange::start("exchange 1", &record, ms(45_000));
     let listen = free_address();
-    let agent = UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).unwrap_or_else(|e| could_not_run(&e.to_string()));
+    let agent = UdpSocket::bind("127.0.0.1:0")
+        .and_then(|s| s.local_addr())
+        .unwrap_or_else(|e| could_not_run(&e.to_string()));
     let names: Vec<String> = (1..=ENDPOINTS).map(|n| format!("\"lamp/{n}\"")).collect();
     let mgcp = format!(
         "enabled = true\nlisten = \"{agent}\"\nclass = \"status-report\"\npatience_ms = 3000\ndigits = 4\n\
@@ -207,7 +211,8 @@
     // A second controller, so that the one that is killed is half of them.
     let other_exchange = Exchange::start("exchange 2", record, ms(45_000));
     let other_listen = free_address();
-    let other_file = site.write("other.json", &config(other_listen, &[member("s-2", other_exchange.address, 2, "up")]));
+    let other_file =
+        site.write("other.json", &config(other_listen, &[member("s-2", other_exchange.address, 2, "up")]));
     let mut other = Controller::start(site, &other_file, "");
     other.wait_ready(other_listen);
     let sids = [sid(1), sid(2)];
@@ -227,7 +232,8 @@
         controller.wait_ready(listen);
     }
     // The callers' connections ended with the process; they connect to the one that passes its test, and go on to call.
-    let again = Caller::connect_with(listen, record, caller.seen.clone()).unwrap_or_else(|| could_not_run("no connection"));
+    let again = Caller::connect_with(listen, record, caller.seen.clone())
+        .unwrap_or_else(|| could_not_run("no connection"));
     for n in 0..2 {
         again.open(&sid(100 + n), EXCHANGE, 3000);
         sleep(ms(500));
@@ -238,7 +244,8 @@
     for (s, index) in sids.iter().zip(0..) {
         let seen = caller.of(s);
         // The calls were set up one after the other; the gateway's connections have the same order.
-        let mut all: Vec<(u64, Option<u64>)> = state.connections.values().map(|c| (c.created, None)).collect();
+        let mut all: Vec<(u64, Option<u64>)> =
+            state.connections.values().map(|c| (c.created, None)).collect();
         all.extend(state.deleted.iter().map(|(_, c, at)| (c.created, Some(*at))));
         all.sort_unstable();
         let over = all.get(index).and_then(|c| c.1);
@@ -290,6 +297,7 @@
         }
     }
     let seen = caller.of(&sid(1));
-    let summary = format!("the call: {seen:?}; connections created at {:?}; drain told at {told:?}", state.created);
+    let summary =
+        format!("the call: {seen:?}; connections created at {:?}; drain told at {told:?}", state.created);
     record.verdict(&broken, &summary)
 }
