--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -623,6 +623,9 @@
         self.record.line("caller: the connection has ended");
     }
     pub fn open(&self, sid: &str, destination: u16, left: u64) {
+        self.open_with(sid, destination, left, &format!("{sid} of the caller"));
+    }
+    pub fn open_with(&self, sid: &str, destination: u16, left: u64, text: &str) {
         self.record.line(&format!("caller: set-up {sid} to exchange {destination}"));
         self.seen.lock().unwrap().entry(sid.to_owned()).or_default().sent = self.record.now();
         let extras = format!("dest:{destination};width:1;via:-1");
@@ -630,7 +633,7 @@
             &self.stream,
             &format!(
                 "{{\"msg\":\"open\",\"sid\":\"{sid}\",\"attrs\":{{\"class\":\"status-report\",\"left\":\"{left}\",\
-                 \"key\":\"7f3a9c21e0b4d655\",\"extras\":\"{extras}\"}},\"text\":\"{sid} of the caller\"}}\n"
+                 \"key\":\"7f3a9c21e0b4d655\",\"extras\":\"{extras}\"}},\"text\":\"{text}\"}}\n"
             ),
         );
     }
