Let the review's stand-ins go on when their output is closed

Cause: a script whose output was cut off ended with 2, since the stand-in stopped at the broken pipe. Change: errors of the output are passed over; the record is written as before.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -52,10 +52,10 @@
     /// Writes the verdict and returns the exit status.
     pub fn verdict(&self, broken: &[String], summary: &str) -> i32 {
         self.line(&format!("summary: {summary}"));
-        println!("{summary}");
+        drop(writeln!(std::io::stdout(), "{summary}"));
         for text in broken {
             self.line(&format!("rule broken: {text}"));
-            println!("rule broken: {text}");
+            drop(writeln!(std::io::stdout(), "rule broken: {text}"));
         }
         let status = if broken.is_empty() { HELD } else { BROKEN };
         self.line(&format!("exit {status}"));
@@ -64,7 +64,7 @@
 }
 
 pub fn could_not_run(why: &str) -> ! {
-    println!("could not run: {why}");
+    drop(writeln!(std::io::stdout(), "could not run: {why}"));
     std::process::exit(COULD_NOT_RUN)
 }
 
