Answer a repeated set-up again when its first answer went to an ended connection

Cause: an answer written to a connection counted as read. The held set-up was rejected as a duplicate as soon as the call was established, and one that came after the answer at once.

Change: recent answers are kept for 1 s. A set-up with the content of a call answered up to 500 ms ago is held as before; if the connection of the first answer has ended or ends meanwhile, the answer is sent again on the new one. If it stays, the new connection is closed after 500 ms, as before. It works because a caller sends a set-up again only when its connection has ended, and that end is seen within the hold. Related paths: a call that is over by then, and a release that is not acknowledged, answer the repeated set-up instead of a second attempt. The maps of abandoned and of answered set-ups share one type.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -68,6 +68,7 @@
         ("callers.crowded", client.too_many_open),
         ("callers.crossed", client.set_up_while_closing),
         ("callers.released_again", client.release_resent),
+        ("callers.answered_again", client.answer_resent),
         ("callers.stray", client.unknown_call),
         ("callers.unexpected", client.unexpected),
         ("callers.undeliverable", client.undeliverable),
--- a/src/program/event_loop/callers.rs
+++ b/src/program/event_loop/callers.rs
@@ -3,19 +3,18 @@
 use super::{EventLoop, TimerKey, STARTUP_GRACE};
 use crate::program::appliance::Appliance;
 use crate::program::log::{CALLS_TARGET, CONNECTIONS_TARGET};
-use crate::protocol::client::{ClientOutput, ClientRequest, RepeatedOffer};
+use crate::protocol::client::{AcceptedSetUp, ClientOutput, ClientRequest};
 use crate::protocol::json_lines::{Kind, Message, Sid};
 use crate::protocol::ConnId;
 use crate::routing::interface::Micros;
-use crate::routing::ledger::{AnswerReason, OfferedCall};
+use crate::routing::ledger::AnswerReason;
 use crate::transport::outbox::Outbox;
 use crate::transport::Side;
-use serde_json::Value;
 
 impl EventLoop {
     pub(super) fn handle_caller_message(&mut self, now: Micros, conn: ConnId, message: Message) {
         match self.callers.message(now, conn, message) {
-            ClientRequest::Offer(sid, key, offer) => self.offer_call(now, conn, sid, key, *offer),
+            ClientRequest::Offer(accepted) => self.offer_call(now, *accepted),
             ClientRequest::Clear(call) => {
                 tracing::debug!(
                     target: CALLS_TARGET,
@@ -38,17 +37,18 @@
         }
     }
 
-    fn offer_call(&mut self, now: Micros, conn: ConnId, sid: Sid, key: Option<Value>, offer: OfferedCall) {
+    fn offer_call(&mut self, now: Micros, accepted: AcceptedSetUp) {
+        let AcceptedSetUp { set_up, offer } = accepted;
         let (class, left) = (offer.new_call.class, offer.new_call.remaining_time);
-        tracing::debug!(target: CALLS_TARGET, %sid, conn = conn.0, class, left, "call accepted");
+        tracing::debug!(target: CALLS_TARGET, sid = %set_up.sid, conn = set_up.conn.0, class, left, "call accepted");
         let call = self.ledger.offer(now, offer);
-        self.callers.call_offered(conn, sid, key, call);
+        self.callers.call_offered(set_up, call);
     }
 
     /// Offers a set-up that was held until its sid became free.
     fn offer_repeated(&mut self, now: Micros, sid: Sid) {
-        if let Some(RepeatedOffer { conn, key, offer }) = self.callers.take_repeated(now, sid) {
-            self.offer_call(now, conn, sid, key, offer);
+        if let Some(accepted) = self.callers.take_repeated(now, sid) {
+            self.offer_call(now, accepted);
         }
     }
 
--- a/src/protocol/client/answers.rs
+++ b/src/protocol/client/answers.rs
@@ -6,7 +6,7 @@
     /// Sends the final answer to a call on the connection of its set-up.
     pub fn answer(&mut self, now: Micros, call: CallId, answer: Answer) {
         let Some(client_call) = self.calls.get_mut(&call) else { return };
-        let (sid, conn) = (client_call.sid, client_call.conn);
+        let (sid, conn) = (client_call.set_up.sid, client_call.set_up.conn);
         if !self.connections.contains_key(&conn) {
             self.counts.undeliverable += 1;
         }
@@ -21,9 +21,9 @@
                 if fault_injected(InjectedFault::AnswerTwice) {
                     self.send(conn, Message { text: text.clone(), ..Message::new(Kind::Ready, Some(sid)) });
                 }
+                self.recent_answers.record(now, sid, text.clone());
                 self.send(conn, Message { text, ..Message::new(Kind::Ready, Some(sid)) });
                 self.close_if_answered(conn);
-                self.reject_repeated(now, sid);
             }
             Answer::Refused { retry_after } => {
                 let refusal = Message::close(sid, cause::NO_CIRCUIT);
@@ -45,7 +45,7 @@
         let removed = self.remove_call(call);
         self.refuse_set_up(now, conn, message);
         if let Some(client_call) = removed {
-            self.sid_released(now, client_call.sid);
+            self.sid_released(now, client_call.set_up.sid);
         }
     }
 
--- a/src/protocol/client/connections.rs
+++ b/src/protocol/client/connections.rs
@@ -52,7 +52,12 @@
         self.repeated.retain(|_, r| r.conn != conn);
         let maybe_lost = |r: &Release| r.sent.last() == Some(&conn);
         let resend: Vec<Sid> = self.releases.iter().filter(|(_, r)| maybe_lost(r)).map(|(&s, _)| s).collect();
-        resend.into_iter().for_each(|sid| self.send_release(now, sid, None));
+        for sid in resend {
+            // A caller that sent its set-up again has no answer yet, and the release serves as one.
+            let repeated_on = self.remove_repeated(sid).map(|repeated| repeated.conn);
+            self.send_release(now, sid, repeated_on);
+        }
+        self.answer_repeated_of(now, conn);
         let lost = self.open_calls_on(conn);
         for &call in &lost {
             self.call_cleared(now, call);
@@ -160,7 +165,7 @@
 
     /// The unanswered calls of a connection, in the order of their ids.
     pub(super) fn open_calls_on(&self, conn: ConnId) -> Vec<CallId> {
-        let is_open = |call: &ClientCall| call.conn == conn && !call.answered;
+        let is_open = |call: &ClientCall| call.set_up.conn == conn && !call.answered;
         let mut open: Vec<CallId> =
             self.calls.iter().filter(|(_, call)| is_open(call)).map(|(&id, _)| id).collect();
         open.sort_unstable();
--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -51,7 +51,7 @@
     /// An established call may be released on any connection, a set-up only be cancelled on its own, so that a client
     /// that makes up sids can't cancel the set-ups of others.
     pub(super) fn may_clear(&self, conn: ConnId, call: CallId) -> bool {
-        self.calls.get(&call).is_some_and(|call| call.answered || call.conn == conn)
+        self.calls.get(&call).is_some_and(|call| call.answered || call.set_up.conn == conn)
     }
 
     /// Checks a set-up and returns the call to offer, unless it is answered at once.
@@ -62,10 +62,16 @@
         sid: Sid,
         message: Message,
     ) -> ClientRequest {
+        if self.releases.contains_key(&sid) {
+            // The call has ended. Its client sends the set-up again because it has read nothing of this, so that the
+            // release is its answer.
+            self.send_release(now, sid, Some(conn));
+            return ClientRequest::None;
+        }
         if !self.call_by_sid.contains_key(&sid) {
             return self.accept_set_up(now, conn, sid, message);
         }
-        if !self.hold_repeated(now, conn, sid, &message) {
+        if !self.handle_repeated(now, conn, sid, &message) {
             // No message is sent for the sid: it would be a second answer to the call that has it.
             self.counts.duplicate_sid += 1;
             self.begin_close(now, conn, CloseReason::DuplicateSid);
@@ -90,9 +96,14 @@
             self.refuse_set_up(now, conn, congestion_refusal(sid));
             return ClientRequest::None;
         }
-        let earliest_attempt = self.abandoned.earliest_attempt(now, sid);
+        let earliest_attempt = self.abandoned.get(now, sid).map_or(0, |entry| entry.until);
         match self.parse_offer(&message, earliest_attempt) {
-            Some(offer) => ClientRequest::Offer(sid, message.attrs.get("key").cloned(), Box::new(offer)),
+            Some(offer) => {
+                let key = message.attrs.get("key").cloned();
+                let content = self.content_hasher.hash(&message);
+                let set_up = ReceivedSetUp { sid, conn, key, content };
+                ClientRequest::Offer(Box::new(AcceptedSetUp { set_up, offer }))
+            }
             None => {
                 // An unknown class or an invalid value: failed rather than refused, since a retry of the same
                 // set-up would not help.
@@ -139,12 +150,12 @@
     }
 
     /// The call of a set-up was offered to the ledger, under this id.
-    pub fn call_offered(&mut self, conn: ConnId, sid: Sid, key: Option<Value>, call: CallId) {
-        self.call_by_sid.insert(sid, call);
-        self.calls.insert(call, ClientCall { sid, key, conn, answered: false });
-        if let Some(c) = self.connections.get_mut(&conn) {
+    pub fn call_offered(&mut self, set_up: ReceivedSetUp, call: CallId) {
+        if let Some(c) = self.connections.get_mut(&set_up.conn) {
             c.open_set_ups += 1;
         }
+        self.call_by_sid.insert(set_up.sid, call);
+        self.calls.insert(call, ClientCall { set_up, answered: false });
     }
 }
 
--- a/src/protocol/client/mod.rs
+++ b/src/protocol/client/mod.rs
@@ -6,22 +6,23 @@
 //! errors, when it has been idle for too long or only had set-ups refused, at the connection limit, or when the program
 //! stops.
 
-mod abandoned;
 mod answers;
 mod connections;
 mod messages;
+mod recent_sids;
 mod releases;
 mod repeated;
+mod set_up_content;
 
 use super::json_lines::{cause, parse_all_pairs, Kind, Message, PreviousRun, Sid};
 use super::ConnId;
 use crate::fault_injection::{fault_injected, InjectedFault};
 use crate::routing::interface::{CallId, ExchangeNumber, Micros, NewCall};
-use crate::routing::ledger::{Answer, FrontendId, OfferedCall};
-use abandoned::AbandonedCalls;
-pub use repeated::RepeatedOffer;
+use crate::routing::ledger::{Answer, FrontendId, OfferedCall, SessionDescription};
+use recent_sids::RecentSids;
 use repeated::RepeatedSetUp;
 use serde_json::Value;
+use set_up_content::{ContentHash, ContentHasher};
 use std::collections::{BTreeMap, HashMap};
 
 /// An unconfirmed release is resent for this long (µs).
@@ -50,6 +51,10 @@
 const MAX_REFUSED_UNUSED: u32 = 8;
 /// Longest remaining time that a client may state in a set-up (µs).
 const MAX_REMAINING_TIME: Micros = 600_000_000;
+/// Largest number of abandoned set-ups that are remembered.
+const MAX_ABANDONED: usize = 20_000;
+/// Largest number of answers that are kept; each may have 16 KiB.
+const MAX_RECENT_ANSWERS: usize = 1_000;
 /// Largest number of circuits of a call: those of one 2 Mbit/s trunk group.
 const MAX_CIRCUITS: f64 = 30.0;
 
@@ -57,7 +62,7 @@
 #[derive(Debug, PartialEq)]
 pub enum ClientRequest {
     /// Offer this call to the ledger, then report its id with [`ClientConnections::call_offered`].
-    Offer(Sid, Option<Value>, Box<OfferedCall>),
+    Offer(Box<AcceptedSetUp>),
     /// The caller cancelled its set-up or released its call.
     Clear(CallId),
     /// The caller released a call of the previous run.
@@ -68,6 +73,27 @@
     None,
 }
 
+/// A set-up that was checked and is to be offered to the ledger.
+#[derive(Debug, PartialEq)]
+pub struct AcceptedSetUp {
+    /// What identifies it among the client's calls.
+    pub set_up: ReceivedSetUp,
+    /// The call.
+    pub offer: OfferedCall,
+}
+
+/// A set-up as received from a client.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReceivedSetUp {
+    /// Its sid.
+    pub sid: Sid,
+    /// The connection that it arrived on.
+    pub conn: ConnId,
+    /// The called number as received.
+    key: Option<Value>,
+    content: ContentHash,
+}
+
 /// Why this side closes a client's connection; written to the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
@@ -151,14 +177,16 @@
     pub over_limit: u64,
     /// Releases resent on another connection.
     pub release_resent: u64,
+    /// Answers to established calls resent on the connection of a repeated set-up.
+    pub answer_resent: u64,
 }
 
+/// A call of a client, until it ends.
 #[derive(Debug)]
 struct ClientCall {
-    sid: Sid,
-    /// The called number as received.
-    key: Option<Value>,
-    conn: ConnId,
+    /// Its set-up. The connection is the one on which the answer was or will be sent.
+    set_up: ReceivedSetUp,
+    /// Whether it is established.
     answered: bool,
 }
 
@@ -207,9 +235,12 @@
     calls: HashMap<CallId, ClientCall>,
     releases: BTreeMap<Sid, Release>,
     previous_run: PreviousRun,
-    /// Set-ups abandoned recently.
-    abandoned: AbandonedCalls,
-    /// Set-ups held because their sid is in use on another connection. They count among the open set-ups of theirs.
+    /// Set-ups abandoned within the last quiet period, which must not be attempted again before its end.
+    abandoned: RecentSids<ContentHash>,
+    /// The descriptions in the answers to calls that were established recently.
+    recent_answers: RecentSids<Option<SessionDescription>>,
+    content_hasher: ContentHasher,
+    /// Set-ups held because their sid is in use by a call of another connection. They count among the open set-ups of theirs.
     repeated: BTreeMap<Sid, RepeatedSetUp>,
     /// Whether connections are closed once nothing is left on them.
     draining: bool,
@@ -229,7 +260,9 @@
             calls: HashMap::new(),
             releases: BTreeMap::new(),
             previous_run: PreviousRun::new(now),
-            abandoned: AbandonedCalls::default(),
+            abandoned: RecentSids::new(0, MAX_ABANDONED),
+            recent_answers: RecentSids::new(repeated::ANSWER_RETENTION, MAX_RECENT_ANSWERS),
+            content_hasher: ContentHasher::default(),
             repeated: BTreeMap::new(),
             draining: false,
             outputs: Vec::new(),
@@ -240,7 +273,7 @@
     /// Sets the quiet period: the time before a set-up whose attempt ended with an unknown result may be attempted
     /// again (µs).
     pub fn with_quiet_period(self, quiet: Micros) -> Self {
-        ClientConnections { abandoned: AbandonedCalls::new(quiet), ..self }
+        ClientConnections { abandoned: RecentSids::new(quiet, MAX_ABANDONED), ..self }
     }
 
     /// Takes the pending outputs, in the order in which they must be carried out.
@@ -255,6 +288,6 @@
 
     /// The sid of a call and the called number, as received.
     pub fn sid_and_number(&self, call: CallId) -> Option<(Sid, Option<Value>)> {
-        self.calls.get(&call).map(|call| (call.sid, call.key.clone()))
+        self.calls.get(&call).map(|call| (call.set_up.sid, call.set_up.key.clone()))
     }
 }
--- a/src/protocol/client/releases.rs
+++ b/src/protocol/client/releases.rs
@@ -11,7 +11,7 @@
             return;
         }
         let code = if cut { cause::TEMPORARY_FAILURE } else { cause::NORMAL };
-        self.add_release(now, client_call.sid, code, Some(client_call.conn));
+        self.add_release(now, client_call.set_up.sid, code, Some(client_call.set_up.conn));
     }
 
     /// Releases a call of the previous run towards its caller.
@@ -56,16 +56,17 @@
     /// without an answer is remembered as abandoned.
     pub(super) fn call_cleared(&mut self, now: Micros, call: CallId) {
         if let Some(client_call) = self.remove_call(call).filter(|call| !call.answered) {
-            self.abandoned.record(now, client_call.sid);
-            self.sid_released(now, client_call.sid);
+            let ReceivedSetUp { sid, content, .. } = client_call.set_up;
+            self.abandoned.record(now, sid, content);
+            self.sid_released(now, sid);
         }
     }
 
     /// Removes a call and updates the counts of its connection. The only place that does so.
     pub(super) fn remove_call(&mut self, call: CallId) -> Option<ClientCall> {
         let client_call = self.calls.remove(&call)?;
-        self.call_by_sid.remove(&client_call.sid);
-        if let Some(c) = self.connections.get_mut(&client_call.conn) {
+        self.call_by_sid.remove(&client_call.set_up.sid);
+        if let Some(c) = self.connections.get_mut(&client_call.set_up.conn) {
             let count = if client_call.answered { &mut c.established } else { &mut c.open_set_ups };
             *count = count.saturating_sub(1);
         }
--- a/src/protocol/client/repeated.rs
+++ b/src/protocol/client/repeated.rs
@@ -1,13 +1,16 @@
-//! Set-ups that use the sid of an unanswered call on another connection.
+//! Set-ups that a client sends again on a new connection because the one before it has ended.
 //!
-//! A client whose connection has ended sends its set-up again on a new one. That may arrive before the end of the first
-//! connection is seen here, so the repeated set-up is held for a short time: if the first connection ends, it is offered
-//! as a new call; if not, the sid is in use and the connection of the repeated set-up is closed.
+//! Such a set-up may arrive before the end of the first connection is seen here, so it is held for a short time. If the
+//! first connection ends, the set-up gets the answer that was sent there, or is offered as a new call if there was none.
+//! If the first connection does not end, the sid is in use, and the connection of the repeated set-up is closed.
 
 use super::*;
 
-/// How long a repeated set-up is held (µs).
+/// How long a repeated set-up is held, and how long after its answer a set-up may be repeated (µs). Clients repeat a
+/// set-up within 50 ms of the end of its connection; the rest covers a late sight of that end.
 const REPEATED_SET_UP_WAIT: Micros = 500_000;
+/// How long an answer is kept: a set-up that repeats an answered one at the latest moment is still held (µs).
+pub(super) const ANSWER_RETENTION: Micros = 2 * REPEATED_SET_UP_WAIT;
 
 /// A set-up that is held.
 #[derive(Debug)]
@@ -17,24 +20,17 @@
     received_at: Micros,
 }
 
-/// A held set-up that can be offered to the ledger.
-#[derive(Debug, PartialEq)]
-pub struct RepeatedOffer {
-    /// The connection that it arrived on.
-    pub conn: ConnId,
-    /// The called number as received.
-    pub key: Option<Value>,
-    /// The call.
-    pub offer: OfferedCall,
-}
-
 impl ClientConnections {
-    /// Holds a set-up whose sid is in use, if the call that has it may have lost its connection; returns whether it
+    /// Handles a set-up whose sid is in use, if the call that has it may have lost its connection; returns whether it
     /// does.
-    pub(super) fn hold_repeated(&mut self, now: Micros, conn: ConnId, sid: Sid, message: &Message) -> bool {
+    pub(super) fn handle_repeated(&mut self, now: Micros, conn: ConnId, sid: Sid, message: &Message) -> bool {
         let first = self.call_by_sid.get(&sid).and_then(|call| self.calls.get(call));
-        let may_have_lost_connection = first.is_some_and(|call| !call.answered && call.conn != conn);
-        if !may_have_lost_connection || self.repeated.contains_key(&sid) {
+        let Some(first) = first.filter(|call| call.set_up.conn != conn) else { return false };
+        let first_conn = first.set_up.conn;
+        if first.answered && !self.is_repetition_of_answered(now, sid, message) {
+            return false;
+        }
+        if self.repeated.contains_key(&sid) {
             return false;
         }
         let Some(c) = self.connections.get_mut(&conn).filter(|c| c.open_set_ups < MAX_OPEN_UNUSED) else {
@@ -42,16 +38,74 @@
         };
         c.open_set_ups += 1;
         self.repeated.insert(sid, RepeatedSetUp { conn, message: message.clone(), received_at: now });
-        let timer = ClientTimer::RepeatedSetUp(sid);
-        self.outputs.push(ClientOutput::SetTimer(now + REPEATED_SET_UP_WAIT, timer));
+        if self.connections.contains_key(&first_conn) {
+            let timer = ClientTimer::RepeatedSetUp(sid);
+            self.outputs.push(ClientOutput::SetTimer(now + REPEATED_SET_UP_WAIT, timer));
+        } else {
+            self.answer_repeated(now, sid);
+        }
         true
     }
 
+    /// Whether this set-up repeats one that was answered so recently that its client may not have read the answer.
+    fn is_repetition_of_answered(&mut self, now: Micros, sid: Sid, message: &Message) -> bool {
+        let answer = self.recent_answers.get(now, sid);
+        let kept_while_held = answer.is_some_and(|entry| entry.until - now >= REPEATED_SET_UP_WAIT);
+        kept_while_held && self.is_repetition(sid, message)
+    }
+
+    /// Whether this set-up has the content of the call that has its sid.
+    fn is_repetition(&self, sid: Sid, message: &Message) -> bool {
+        let first = self.call_by_sid.get(&sid).and_then(|call| self.calls.get(call));
+        first.is_some_and(|call| call.set_up.content == self.content_hasher.hash(message))
+    }
+
+    /// The connection on which these calls were answered has ended: the set-ups that are held for them get the same
+    /// answers, since their client has not read the first ones.
+    pub(super) fn answer_repeated_of(&mut self, now: Micros, ended: ConnId) {
+        let answered_there = |call: &ClientCall| call.answered && call.set_up.conn == ended;
+        let has_answer = |sid: &Sid| {
+            self.call_by_sid.get(sid).and_then(|call| self.calls.get(call)).is_some_and(answered_there)
+        };
+        let sids: Vec<Sid> = self.repeated.keys().copied().filter(has_answer).collect();
+        sids.into_iter().for_each(|sid| self.answer_repeated(now, sid));
+    }
+
+    /// Sends the answer of an established call again, on the connection of the set-up that is held for it. The call
+    /// belongs to that connection from then on.
+    fn answer_repeated(&mut self, now: Micros, sid: Sid) {
+        let Some(answer) = self.recent_answers.get(now, sid).map(|entry| entry.value.clone()) else { return };
+        let Some(message) = self.repeated.get(&sid).map(|repeated| &repeated.message) else { return };
+        if !self.is_repetition(sid, message) {
+            return;
+        }
+        let Some(RepeatedSetUp { conn, .. }) = self.remove_repeated(sid) else { return };
+        let Some(&call) = self.call_by_sid.get(&sid) else { return };
+        self.counts.answer_resent += 1;
+        self.move_call(call, conn);
+        self.send(conn, Message { text: answer, ..Message::new(Kind::Ready, Some(sid)) });
+        self.close_if_answered(conn);
+    }
+
+    /// Moves an established call to another connection.
+    fn move_call(&mut self, call: CallId, conn: ConnId) {
+        let Some(client_call) = self.calls.get_mut(&call) else { return };
+        let previous = std::mem::replace(&mut client_call.set_up.conn, conn);
+        if let Some(c) = self.connections.get_mut(&previous) {
+            c.established = c.established.saturating_sub(1);
+        }
+        if let Some(c) = self.connections.get_mut(&conn) {
+            c.established += 1;
+            c.ever_established = true;
+        }
+    }
+
     /// The call that has the sid has ended without being established. A set-up that is held for the sid can be offered;
     /// as an attempt of the first call may have run, it waits for the quiet period.
     pub(super) fn sid_released(&mut self, now: Micros, sid: Sid) {
-        if self.repeated.contains_key(&sid) {
-            self.abandoned.record(now, sid);
+        if let Some(repeated) = self.repeated.get(&sid) {
+            let content = self.content_hasher.hash(&repeated.message);
+            self.abandoned.record(now, sid, content);
             self.outputs.push(ClientOutput::OfferRepeated(sid));
         }
     }
@@ -59,34 +113,31 @@
     /// Takes the set-up that is held for this sid, after [`ClientOutput::OfferRepeated`]. The caller offers it to the
     /// ledger and reports its id with [`ClientConnections::call_offered`]. `None` if it has ended since, or if it was
     /// invalid and has been answered.
-    pub fn take_repeated(&mut self, now: Micros, sid: Sid) -> Option<RepeatedOffer> {
+    pub fn take_repeated(&mut self, now: Micros, sid: Sid) -> Option<AcceptedSetUp> {
         let RepeatedSetUp { conn, message, received_at } = self.remove_repeated(sid)?;
         match self.accept_set_up(now, conn, sid, message) {
-            ClientRequest::Offer(_, key, mut offer) => {
-                let remaining_time = offer.new_call.remaining_time - (now - received_at);
-                offer.new_call.remaining_time = remaining_time.max(0);
-                Some(RepeatedOffer { conn, key, offer: *offer })
+            ClientRequest::Offer(mut accepted) => {
+                let new_call = &mut accepted.offer.new_call;
+                new_call.remaining_time = (new_call.remaining_time - (now - received_at)).max(0);
+                Some(*accepted)
             }
             _ => None,
         }
     }
 
-    /// Ends the wait of a held set-up because its sid is in use: its connection is closed. No message is sent for the
-    /// sid, as it would be a second answer to the call that has it.
-    pub(super) fn reject_repeated(&mut self, now: Micros, sid: Sid) {
+    /// The time to hold a set-up has passed, unless the timer belongs to an earlier one: its sid is in use, and its
+    /// connection is closed. No message is sent for the sid, as it would be a second answer to the call that has it.
+    pub(super) fn repeated_set_up_timeout(&mut self, now: Micros, sid: Sid) {
+        let due = |repeated: &RepeatedSetUp| now - repeated.received_at >= REPEATED_SET_UP_WAIT;
+        if !self.repeated.get(&sid).is_some_and(due) {
+            return;
+        }
         if let Some(repeated) = self.remove_repeated(sid) {
             self.counts.duplicate_sid += 1;
             self.begin_close(now, repeated.conn, CloseReason::DuplicateSid);
         }
     }
 
-    /// The time to hold a set-up has passed, unless the timer belongs to an earlier one.
-    pub(super) fn repeated_set_up_timeout(&mut self, now: Micros, sid: Sid) {
-        if self.repeated.get(&sid).is_some_and(|r| now - r.received_at >= REPEATED_SET_UP_WAIT) {
-            self.reject_repeated(now, sid);
-        }
-    }
-
     /// Fails the set-ups held on a connection that is being closed.
     pub(super) fn fail_repeated_on(&mut self, conn: ConnId) {
         let held: Vec<Sid> =
@@ -103,7 +154,7 @@
         held_here && self.remove_repeated(sid).is_some()
     }
 
-    fn remove_repeated(&mut self, sid: Sid) -> Option<RepeatedSetUp> {
+    pub(super) fn remove_repeated(&mut self, sid: Sid) -> Option<RepeatedSetUp> {
         let repeated = self.repeated.remove(&sid)?;
         if let Some(c) = self.connections.get_mut(&repeated.conn) {
             c.open_set_ups = c.open_set_ups.saturating_sub(1);
--- /dev/null
+++ b/tests/repeated_set_ups.rs
@@ -0,0 +1,107 @@
+//! Set-ups that a caller sends again on a new connection, and set-ups of other clients with the same sid: the program as
+//! a process, with stand-in callers and exchanges.
+
+mod common;
+
+use common::json_lines::*;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// How much later than at the caller the end of a connection is seen by the program.
+const END_SEEN_LATE: Duration = Duration::from_millis(40);
+
+fn ready_message(sid: &str) -> serde_json::Value {
+    json!({"msg": "ready", "sid": sid, "attrs": {}, "text": SESSION_DESCRIPTION})
+}
+
+/// Sends a set-up that the exchange receives; returns its connection.
+fn open_call(callers: SocketAddr, exchange: &mut JsonConnection, sid: &str) -> JsonConnection {
+    let mut caller = JsonConnection::connect(callers);
+    caller.send(open_message(sid, 1, 9000));
+    assert_eq!(exchange.receive_for(sid)["msg"], "open");
+    caller
+}
+
+/// Waits until the program has sent the answer on the first connection, without reading it.
+fn wait_for_unread_answer(caller: &JsonConnection) {
+    assert!(caller.stream.peek(&mut [0]).unwrap() > 0);
+}
+
+fn assert_answered(caller: &mut JsonConnection, sid: &str) {
+    let answer = caller.receive_for(sid);
+    assert_eq!((&answer["msg"], &answer["text"]), (&json!("ready"), &json!(SESSION_DESCRIPTION)));
+}
+
+/// Guards against review case 6: the exchange answers before the end of the caller's first connection is seen, and the
+/// connection on which the set-up came again was closed without an answer.
+#[test]
+fn a_set_up_answered_on_a_connection_that_had_ended_is_answered_again_on_the_new_one() {
+    let exchange_listener = listener();
+    let (_program, callers, mut exchanges) = start_program(&[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    for n in 1..=3 {
+        let caller = open_call(callers, exchange, &sid(n));
+        let mut second_caller = JsonConnection::connect(callers);
+        second_caller.send(open_message(&sid(n), 1, 8990));
+        sleep(Duration::from_millis(12));
+        exchange.send(ready_message(&sid(n)));
+        wait_for_unread_answer(&caller);
+        sleep(END_SEEN_LATE);
+        drop(caller);
+        assert_answered(&mut second_caller, &sid(n));
+        exchange.send(close_message(&sid(n), 16));
+        assert_eq!(second_caller.receive_for(&sid(n))["code"], 16, "the call belongs to the new connection");
+        second_caller.send(json!({"msg": "closed", "sid": sid(n), "attrs": {}}));
+    }
+    exchange.assert_silent_for(Duration::from_millis(700));
+}
+
+/// Guards against the same fault when the set-up comes again after its answer was sent, before or after the end of the
+/// first connection is seen.
+#[test]
+fn a_set_up_that_comes_again_after_its_answer_was_sent_is_answered_again() {
+    let exchange_listener = listener();
+    let (_program, callers, mut exchanges) = start_program(&[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    for (n, end_seen_first) in [(1, false), (2, true)] {
+        let caller = open_call(callers, exchange, &sid(n));
+        exchange.send(ready_message(&sid(n)));
+        wait_for_unread_answer(&caller);
+        let mut second_caller = JsonConnection::connect(callers);
+        if end_seen_first {
+            drop(caller);
+            sleep(END_SEEN_LATE);
+            second_caller.send(open_message(&sid(n), 1, 8990));
+        } else {
+            second_caller.send(open_message(&sid(n), 1, 8990));
+            sleep(END_SEEN_LATE);
+            drop(caller);
+        }
+        assert_answered(&mut second_caller, &sid(n));
+        second_caller.send(close_message(&sid(n), 16));
+        assert_eq!(exchange.receive_for(&sid(n))["code"], 16, "the exchange had one set-up, and its release");
+    }
+    exchange.assert_silent_for(Duration::from_millis(700));
+}
+
+/// Guards against the same fault when the call is over before the end of the first connection is seen: the set-up must
+/// not run a second time.
+#[test]
+fn a_set_up_whose_call_is_over_before_the_first_connection_ends_is_answered_with_the_release() {
+    let exchange_listener = listener();
+    let (_program, callers, mut exchanges) = start_program(&[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    let caller = open_call(callers, exchange, &sid(1));
+    let mut second_caller = JsonConnection::connect(callers);
+    second_caller.send(open_message(&sid(1), 1, 8990));
+    exchange.send(ready_message(&sid(1)));
+    exchange.send(close_message(&sid(1), 41));
+    wait_for_unread_answer(&caller);
+    sleep(END_SEEN_LATE);
+    drop(caller);
+    let answer = second_caller.receive_for(&sid(1));
+    assert_eq!((&answer["msg"], &answer["code"]), (&json!("close"), &json!(41)));
+    exchange.assert_silent_for(Duration::from_millis(700));
+}
