Hold a set-up for a sid in use only if it has the content of the one that has it

Cause: any set-up with the id of an unanswered call of another connection was held and then offered; the two were never compared.

Change: a set-up is held only if all of it except the remaining time is equal, by a keyed hash; otherwise its connection is closed at once. It works because a client that lost its connection sends the same set-up again. Related path: within the quiet period, another set-up with the id of an abandoned one no longer takes its place.

Both new tests failed before and pass. Tests of models, sockets and repeated set-ups pass.

--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -68,7 +68,8 @@
             self.send_release(now, sid, Some(conn));
             return ClientRequest::None;
         }
-        if !self.call_by_sid.contains_key(&sid) {
+        let in_use = self.call_by_sid.contains_key(&sid);
+        if !in_use && !self.differs_from_abandoned(now, sid, &message) {
             return self.accept_set_up(now, conn, sid, message);
         }
         if !self.handle_repeated(now, conn, sid, &message) {
--- a/src/protocol/client/repeated.rs
+++ b/src/protocol/client/repeated.rs
@@ -3,6 +3,9 @@
 //! Such a set-up may arrive before the end of the first connection is seen here, so it is held for a short time. If the
 //! first connection ends, the set-up gets the answer that was sent there, or is offered as a new call if there was none.
 //! If the first connection does not end, the sid is in use, and the connection of the repeated set-up is closed.
+//!
+//! Only a set-up with the content of the first one is taken for a repetition. Another one with its sid comes from a faulty
+//! client, whose connection is closed at once.
 
 use super::*;
 
@@ -21,16 +24,14 @@
 }
 
 impl ClientConnections {
-    /// Handles a set-up whose sid is in use, if the call that has it may have lost its connection; returns whether it
-    /// does.
+    /// Handles a set-up whose sid is in use, if it repeats the set-up of the call that has the sid and that call may have
+    /// lost its connection; returns whether it does.
     pub(super) fn handle_repeated(&mut self, now: Micros, conn: ConnId, sid: Sid, message: &Message) -> bool {
-        let first = self.call_by_sid.get(&sid).and_then(|call| self.calls.get(call));
-        let Some(first) = first.filter(|call| call.set_up.conn != conn) else { return false };
-        let first_conn = first.set_up.conn;
-        if first.answered && !self.is_repetition_of_answered(now, sid, message) {
-            return false;
-        }
-        if self.repeated.contains_key(&sid) {
+        let Some(first) = self.call_with(sid).filter(|call| call.set_up.conn != conn) else { return false };
+        let (first_conn, answered) = (first.set_up.conn, first.answered);
+        let is_repetition = self.is_repetition(sid, message);
+        let answer_may_be_unread = !answered || self.was_answered_recently(now, sid);
+        if !is_repetition || !answer_may_be_unread || self.repeated.contains_key(&sid) {
             return false;
         }
         let Some(c) = self.connections.get_mut(&conn).filter(|c| c.open_set_ups < MAX_OPEN_UNUSED) else {
@@ -47,26 +48,33 @@
         true
     }
 
-    /// Whether this set-up repeats one that was answered so recently that its client may not have read the answer.
-    fn is_repetition_of_answered(&mut self, now: Micros, sid: Sid, message: &Message) -> bool {
-        let answer = self.recent_answers.get(now, sid);
-        let kept_while_held = answer.is_some_and(|entry| entry.until - now >= REPEATED_SET_UP_WAIT);
-        kept_while_held && self.is_repetition(sid, message)
+    /// Whether the call was answered so recently that its client may not have read the answer, and the answer is kept
+    /// for as long as a repeated set-up is held.
+    fn was_answered_recently(&mut self, now: Micros, sid: Sid) -> bool {
+        self.recent_answers.get(now, sid).is_some_and(|entry| entry.until - now >= REPEATED_SET_UP_WAIT)
+    }
+
+    /// Whether a set-up has a sid that another set-up had which was abandoned within the quiet period. Clients use a sid
+    /// for one set-up only.
+    pub(super) fn differs_from_abandoned(&mut self, now: Micros, sid: Sid, message: &Message) -> bool {
+        let content = self.content_hasher.hash(message);
+        self.abandoned.get(now, sid).is_some_and(|entry| entry.value != content)
+    }
+
+    fn call_with(&self, sid: Sid) -> Option<&ClientCall> {
+        self.calls.get(self.call_by_sid.get(&sid)?)
     }
 
     /// Whether this set-up has the content of the call that has its sid.
     fn is_repetition(&self, sid: Sid, message: &Message) -> bool {
-        let first = self.call_by_sid.get(&sid).and_then(|call| self.calls.get(call));
-        first.is_some_and(|call| call.set_up.content == self.content_hasher.hash(message))
+        self.call_with(sid).is_some_and(|call| call.set_up.content == self.content_hasher.hash(message))
     }
 
     /// The connection on which these calls were answered has ended: the set-ups that are held for them get the same
     /// answers, since their client has not read the first ones.
     pub(super) fn answer_repeated_of(&mut self, now: Micros, ended: ConnId) {
         let answered_there = |call: &ClientCall| call.answered && call.set_up.conn == ended;
-        let has_answer = |sid: &Sid| {
-            self.call_by_sid.get(sid).and_then(|call| self.calls.get(call)).is_some_and(answered_there)
-        };
+        let has_answer = |&sid: &Sid| self.call_with(sid).is_some_and(answered_there);
         let sids: Vec<Sid> = self.repeated.keys().copied().filter(has_answer).collect();
         sids.into_iter().for_each(|sid| self.answer_repeated(now, sid));
     }
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -545,8 +545,6 @@
 struct HeldSetUp {
     conn: ConnId,
     since: Micros,
-    /// Whether its values are valid, so that it becomes a call. All valid set-ups of a sid have the same content.
-    valid: bool,
 }
 
 #[derive(Debug)]
@@ -602,15 +600,12 @@
         self.calls.values().find(|c| c.sid == sid)
     }
 
-    /// Whether a set-up with this sid on this connection is held: a call on another connection has the sid, which is
-    /// unanswered, or was answered recently and had the same content.
-    fn holds(&self, conn: ConnId, sid: Sid, valid: bool) -> bool {
-        let recent = |at| self.now - at <= MAX_HOLD_TIME;
-        let may_be_repeated = |c: &ClientCallModel| {
-            c.established_at.is_none_or(|established_at| valid && recent(established_at))
-        };
+    /// Whether a valid set-up with this sid on this connection is held: a call on another connection has the sid, which
+    /// is unanswered or was answered recently. An invalid one is not held: its content differs from that of any call.
+    fn holds(&self, conn: ConnId, sid: Sid) -> bool {
+        let recent = |established_at| self.now - established_at <= MAX_HOLD_TIME;
         let call = self.call_with(sid).filter(|c| c.conn != conn);
-        call.is_some_and(may_be_repeated) && !self.held.contains_key(&sid)
+        call.is_some_and(|c| c.established_at.is_none_or(recent)) && !self.held.contains_key(&sid)
     }
 
     fn add_call(&mut self, set_up: ReceivedSetUp) {
@@ -625,7 +620,7 @@
     fn answer_resent(&mut self, conn: ConnId, sid: Sid) {
         let held = self.held.remove(&sid).expect("an answer is sent again only for a held set-up");
         let call = self.calls.values_mut().find(|c| c.sid == sid).unwrap();
-        assert!(call.is_established() && held.valid && held.conn == conn);
+        assert!(call.is_established() && held.conn == conn);
         let first = std::mem::replace(&mut call.conn, conn);
         assert!(!self.conns.contains_key(&first), "the first answer may have been read");
         self.conns.get_mut(&conn).unwrap().ever_established = true;
@@ -655,7 +650,7 @@
                 assert!(self.call_with(sid).is_none(), "the sid is free");
                 let held = self.held.remove(&sid);
                 let offered = self.clients.take_repeated(self.now, sid);
-                let expected = held.filter(|h| h.valid).map(|h| h.conn);
+                let expected = held.map(|h| h.conn);
                 let offered_on = offered.as_ref().map(|o| o.set_up.conn);
                 assert_eq!(offered_on, expected, "a held set-up becomes a call");
                 let Some((AcceptedSetUp { set_up, offer }, held)) = offered.zip(held) else { return };
@@ -719,10 +714,9 @@
         assert_eq!(self.clients.closed(self.now, conn), expected);
         self.calls.retain(|_, c| c.conn != conn || c.is_established());
         self.settle();
-        let unanswered = |(sid, h): (&Sid, &HeldSetUp)| {
-            h.valid && self.call_with(*sid).is_some_and(|c| c.conn == conn && c.is_established())
-        };
-        assert!(!self.held.iter().any(unanswered), "a set-up repeated from here has the answer");
+        let unanswered =
+            |sid: &Sid| self.call_with(*sid).is_some_and(|c| c.conn == conn && c.is_established());
+        assert!(!self.held.keys().any(unanswered), "a set-up repeated from here has the answer");
     }
 
     fn step(&mut self, step: ClientStep) {
@@ -752,7 +746,7 @@
                 let Some(conn) = conn(i) else { return };
                 let sid = Sid(s);
                 let valid = extras == "dest:2";
-                let (known, holds) = (self.call_with(sid).is_some(), self.holds(conn, sid, valid));
+                let (known, holds) = (self.call_with(sid).is_some(), valid && self.holds(conn, sid));
                 let c = self.conns.get_mut(&conn).unwrap();
                 if self.pending_releases.contains_key(&sid) {
                     // Clients do not reuse sids.
@@ -769,7 +763,7 @@
                     self.add_call(accepted.set_up);
                 }
                 if holds && !was_closing {
-                    self.held.insert(sid, HeldSetUp { conn, since: self.now, valid });
+                    self.held.insert(sid, HeldSetUp { conn, since: self.now });
                 }
                 self.settle();
                 assert!(
--- a/tests/repeated_set_ups.rs
+++ b/tests/repeated_set_ups.rs
@@ -105,3 +105,63 @@
     assert_eq!((&answer["msg"], &answer["code"]), (&json!("close"), &json!(41)));
     exchange.assert_silent_for(Duration::from_millis(700));
 }
+
+/// A set-up with the sid of another client's call and a different description.
+fn foreign_open_message(sid: &str) -> serde_json::Value {
+    let mut message = open_message(sid, 1, 9000);
+    message["text"] = json!("v=0\r\nc=IN IP4 10.9.9.9\r\n");
+    message
+}
+
+/// Guards against review case 7: a client that used the sid of another client's open set-up, with a different
+/// description, was answered that its call stands once the open set-up had ended.
+#[test]
+fn a_different_set_up_with_the_sid_of_an_open_one_is_never_taken_for_it() {
+    let exchange_listener = listener();
+    let (_program, callers, mut exchanges) = start_program(&[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    type EndCall = fn(JsonConnection, &mut JsonConnection, &str);
+    let endings: [(u32, EndCall); 3] = [
+        (1, |mut caller, exchange, sid| {
+            caller.send(close_message(sid, 16));
+            assert_eq!(exchange.receive_for(sid)["code"], 16);
+        }),
+        (2, |caller, exchange, sid| {
+            drop(caller);
+            assert_eq!(exchange.receive_for(sid)["code"], 16);
+        }),
+        (3, |mut caller, exchange, sid| {
+            exchange.send(close_message(sid, 47));
+            assert_eq!(caller.receive_for(sid)["msg"], "close");
+        }),
+    ];
+    for (n, end) in endings {
+        let caller = open_call(callers, exchange, &sid(n));
+        let mut faulty_client = JsonConnection::connect(callers);
+        faulty_client.send(foreign_open_message(&sid(n)));
+        sleep(END_SEEN_LATE);
+        end(caller, exchange, &sid(n));
+        exchange.assert_silent_for(Duration::from_millis(700));
+        assert!(faulty_client.closes_silently());
+    }
+}
+
+/// Guards against the same fault just after the open set-up was abandoned, and against a faulty client that takes the
+/// sid from a caller that is about to send its set-up again.
+#[test]
+fn a_different_set_up_with_the_sid_of_an_abandoned_one_does_not_take_its_place() {
+    let exchange_listener = listener();
+    let (_program, callers, mut exchanges) = start_program(&[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    drop(open_call(callers, exchange, &sid(1)));
+    assert_eq!(exchange.receive_for(&sid(1))["code"], 16);
+    let mut faulty_client = JsonConnection::connect(callers);
+    faulty_client.send(foreign_open_message(&sid(1)));
+    assert!(faulty_client.closes_silently());
+    let mut second_caller = JsonConnection::connect(callers);
+    second_caller.send(open_message(&sid(1), 1, 8990));
+    let set_up = exchange.receive_for(&sid(1));
+    assert_eq!((&set_up["msg"], &set_up["text"]), (&json!("open"), &json!(SESSION_DESCRIPTION)));
+    exchange.send(ready_message(&sid(1)));
+    assert_answered(&mut second_caller, &sid(1));
+}
