Give each connection a share of the event queue, and read what has arrived before a close

Cause: the queue of 1024 events was shared by all connections, and the fastest sender had nearly all of it. Evidence: the delay is the length of the queue times the work for one message (probes 7.8 ms, cancelled set-ups 23.8 ms).

Change: a caller has at most 16 messages in the queue, an exchange 128; its task waits until one is handled. What arrived before a connection is closed is read before reading stops. It works because the delay is now bounded by the messages of the connections that send, not by the fastest of them.

The new test failed before and passes. Tests of models, sockets, coordinator, gateways, repeated set-ups and the short soak pass.

--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -353,7 +353,7 @@
                 tracing::debug!(target: CONNECTIONS_TARGET, conn = conn.0, "connected to the exchange");
                 self.upstream.connected(now, conn);
             }
-            (_, ConnEvent::Message(message)) => {
+            (_, ConnEvent::Message(message, _permit)) => {
                 self.counts.messages_in += 1;
                 match side {
                     Side::Callers => self.handle_caller_message(now, conn, message),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -16,6 +16,7 @@
 use crate::protocol::server_events::ServerEvent;
 use crate::protocol::upstream::CloseReason;
 use crate::protocol::ConnId;
+use async_lock::SemaphoreGuardArc;
 use outbox::Outbox;
 use std::net::SocketAddr;
 use walnuthatch_control::sessions::ClientId;
@@ -36,8 +37,8 @@
     Accepted(Outbox),
     /// A connection to an exchange is established.
     Connected,
-    /// A message was received.
-    Message(Message),
+    /// A message was received. The permit is returned once it has been handled.
+    Message(Message, SemaphoreGuardArc),
     /// A line could not be parsed. Nothing more is read, since the data that follows may be corrupt too.
     InvalidLine(LineError),
     /// Reading has stopped as requested; events for all received data have been sent before this one.
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -21,6 +21,11 @@
 
 /// Size of the read buffer, and of a batch of lines that is written.
 const CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of messages of one caller in the event queue. A caller that sends faster than they are handled waits,
+/// and does not delay the messages of others by more than the handling of these.
+const MAX_QUEUED_OF_CALLER: usize = 16;
+/// The same for an exchange, which serves many callers.
+const MAX_QUEUED_OF_EXCHANGE: usize = 128;
 /// The byte that ends each line.
 const LINE_END: u8 = b'\n';
 /// Maximum number of bytes read and discarded from a caller while its connection is being closed.
@@ -208,6 +213,10 @@
 ) -> CloseReason {
     let mut buffer = vec![0; CHUNK_BYTES];
     let (mut lines, mut partial) = (LineSplitter::default(), false);
+    let permits = Arc::new(Semaphore::new(match side {
+        Side::Callers => MAX_QUEUED_OF_CALLER,
+        Side::Exchanges => MAX_QUEUED_OF_EXCHANGE,
+    }));
     loop {
         let stopped = async {
             // An incomplete line is read to its end first.
@@ -217,7 +226,8 @@
             outbox.wait_for_stop_reading().await;
             None
         };
-        let length = match future::or(stopped, async { Some(stream.read(&mut buffer).await) }).await {
+        // What has arrived before the request to stop is read first: the remote end counts it as taken.
+        let length = match future::or(async { Some(stream.read(&mut buffer).await) }, stopped).await {
             Some(Ok(0)) => return CloseReason::ClosedByPeer,
             Some(Ok(length)) => length,
             Some(Err(_)) => return CloseReason::Broken,
@@ -233,7 +243,10 @@
             lines.push(part, |line| received = Some(line.and_then(Message::parse)));
             let event = match received {
                 None => continue,
-                Some(Ok(message)) => ConnEvent::Message(message),
+                Some(Ok(message)) => {
+                    let permit = permits.acquire_arc().await;
+                    ConnEvent::Message(message, permit)
+                }
                 Some(Err(error)) => {
                     invalid_line.set(true);
                     ConnEvent::InvalidLine(error)
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -5,8 +5,10 @@
 use common::hostile::{peak_memory, time_to_answer, wait_until_idle, HostileClient};
 use common::json_lines::*;
 use common::{config, temp_file, Program};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 use walnuthatch::protocol::fields::MAX_FIELDS;
@@ -26,17 +28,20 @@
 /// Largest size of a line that is read (bytes).
 const MAX_LINE_BYTES: usize = 16 * 1024;
 
-/// Starts the program with an exchange that answers each set-up at once and holds its call for 100 ms.
-fn start_with_exchange() -> (Program, SocketAddr, Exchange) {
+/// Starts the program with exchanges that answer each set-up at once and hold its call for 100 ms.
+fn start_with_exchanges(count: u16) -> (Program, SocketAddr, Vec<Exchange>) {
     let (delay, hold) = (Duration::from_millis(1), Duration::from_millis(100));
-    let exchange = Exchange::start(None, ExchangeConfig { circuits: 2_000, delay, hold, seed: 7 }).unwrap();
-    let member = member("s-1", exchange.address(), 1, "up");
+    let exchange_config = ExchangeConfig { circuits: 2_000, delay, hold, seed: 7 };
+    let exchanges: Vec<Exchange> =
+        (0..count).map(|_| Exchange::start(None, exchange_config).unwrap()).collect();
+    let members: Vec<Value> =
+        (1..).zip(&exchanges).map(|(n, e)| member(&format!("s-{n}"), e.address(), n, "up")).collect();
     let limits = json!({"sockets": 1024, "memory_mb": 192});
-    let known = json!({"index": 3, "updates": [list_update(3, true, &[member])]});
+    let known = json!({"index": 3, "updates": [list_update(3, true, &members)]});
     let config = config(json!({"known": known, "limits": limits}));
     let program = Program::start(&[("--config", &temp_file("config.json", &config.to_string()))], &[]);
     let callers = program.listen_address("callers");
-    (program, callers, exchange)
+    (program, callers, exchanges)
 }
 
 /// Lets many clients write what `next` returns, as much as the program takes.
@@ -80,7 +85,7 @@
 /// when it was parsed, and a thousand such messages were queued.
 #[test]
 fn messages_with_very_many_short_fields_from_hundreds_of_clients_stay_within_the_memory_limit() {
-    let (program, callers, _exchange) = start_with_exchange();
+    let (program, callers, _exchanges) = start_with_exchanges(1);
     write_from_many(callers, set_ups_with_short_fields(1_800));
     write_from_many(callers, set_ups_with_short_fields(11));
     wait_until_idle(&program);
@@ -90,7 +95,7 @@
 /// Guards against the same end by clients that stop in the middle of a large message or go on very slowly.
 #[test]
 fn half_sent_and_slowly_sent_messages_of_hundreds_of_clients_stay_within_the_memory_limit() {
-    let (program, callers, _exchange) = start_with_exchange();
+    let (program, callers, _exchanges) = start_with_exchanges(1);
     let half = format!("{{\"msg\":\"open\",\"sid\":\"{}\",\"text\":\"{}", sid(7), "x".repeat(15_900));
     let mut clients: Vec<HostileClient> = (0..CLIENTS).map(|_| HostileClient::new(callers)).collect();
     let end = Instant::now() + 2 * PERIOD;
@@ -134,3 +139,54 @@
     }
     assert!(parse("[]").is_err());
 }
+
+/// How soon a call is to be established (`aim` in the settings of [`common::settings`]).
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(1200);
+
+/// Runs `next` on one connection at full speed in a thread of its own, after a call was established on it, while other
+/// clients' calls are measured; returns the longest time to an answer. Each call must be established.
+fn longest_time_to_answer_beside(
+    callers: SocketAddr,
+    mut next: impl FnMut() -> Vec<u8> + Send + 'static,
+) -> Duration {
+    let stopped = Arc::new(AtomicBool::new(false));
+    let stop = stopped.clone();
+    let flood = std::thread::spawn(move || {
+        let mut client = HostileClient::new(callers);
+        let mut set_up = Some(format!("{}\n", open_message(&sid(1), 1, 9_000)).into_bytes());
+        while !stop.load(Ordering::Relaxed) {
+            client.write(BYTES_PER_ROUND, || set_up.take().unwrap_or_else(&mut next));
+            std::thread::yield_now();
+        }
+    });
+    sleep(Duration::from_millis(500));
+    let end = Instant::now() + PERIOD;
+    let mut longest = Duration::ZERO;
+    for n in (0x4000_0000..).take_while(|_| Instant::now() < end) {
+        let (answer, time) = time_to_answer(callers, open_message(&sid(n), 2, 9_000));
+        assert_eq!(answer["msg"], "ready");
+        longest = longest.max(time);
+        sleep(Duration::from_millis(20));
+    }
+    stopped.store(true, Ordering::Relaxed);
+    flood.join().unwrap();
+    longest
+}
+
+/// Guards against other clients that wait for the queued messages of one client.
+#[test]
+fn one_client_at_full_speed_does_not_delay_the_calls_of_others() {
+    let (_program, callers, _exchanges) = start_with_exchanges(2);
+    let cancelled = |n: u32| {
+        let mut set_up = open_message(&sid(n), 1, 9_000);
+        set_up["text"] = json!("x".repeat(15_000));
+        format!("{set_up}\n{}\n", close_message(&sid(n), 16)).into_bytes()
+    };
+    let mut number = 100;
+    let longest = longest_time_to_answer_beside(callers, move || {
+        number += 1;
+        cancelled(number)
+    });
+    println!("longest time to an answer: {longest:?}");
+    assert!(longest < LATENCY_OBJECTIVE);
+}
