Remove the timers of ended calls once there are many

Cause: timers were never cancelled, and the one of a call's deadline stayed until it passed, up to 600 s later.

Change: when the number of timers has doubled, those of ended calls and attempts are removed. It works because what is kept is at most about twice what is needed.

--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -303,6 +303,8 @@
             }
             self.process_outputs(now);
         }
+        let ledger = &self.ledger;
+        self.timers.remove_obsolete(|timer| matches!(timer, TimerKey::Ledger(t) if ledger.is_obsolete(t)));
     }
 
     /// The expiry time of the earliest timer.
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -570,6 +570,18 @@
         }
     }
 
+    /// Whether a timer would have no effect, because its call or attempt has ended.
+    pub fn is_obsolete(&self, timer: &LedgerTimer) -> bool {
+        let stage = |call| self.calls.get(call).map(|entry| entry.stage);
+        match timer {
+            LedgerTimer::Controller(_) => false,
+            LedgerTimer::Call(call) => stage(call).is_none_or(|s| matches!(s, Stage::Established { .. })),
+            LedgerTimer::Attempt(call, number) => {
+                !matches!(stage(call), Some(Stage::SettingUp { attempt, .. }) if attempt == *number)
+            }
+        }
+    }
+
     /// Fails a call that has no final answer yet, whatever the decision module plans for it.
     pub fn fail_call(&mut self, now: Micros, call: CallId, reason: AnswerReason) {
         if self.finish_call(call, Answer::Failed, reason) {
