Limit the releases of unknown calls that a connection has passed on to all exchanges

With 200,000 ids on set-ups no release of a call of the previous run was passed on any more.

Cause: one cheap message caused one to each exchange without a limit, and the memory for ids of this run had no share for each connection. Evidence: with a share of the event queue for each connection the exchanges still got 458,000 and 474,000 releases in 5 s and lost 20 connections each.

Change: 400 a second for each connection, with a burst of 200; a connection's ids are remembered up to 40,000. It works because what one client can cause at the exchanges now has a bound that they keep up with.

Measured: both new tests of the model failed before and pass; the test with sockets failed before the share of the queue (2.3 s) and passes. Tests of models, sockets and repeated set-ups pass.

--- a/src/protocol/client/connections.rs
+++ b/src/protocol/client/connections.rs
@@ -17,6 +17,8 @@
             refused: 0,
             partial_since: None,
             received_set_up: false,
+            recorded_sids: 0,
+            previous_run_releases: TokenBucket::new(now, previous_run_release_limit()),
             closing: false,
             reading_stopped: false,
         };
@@ -218,3 +220,8 @@
         }
     }
 }
+
+/// The limit of [`PREVIOUS_RUN_RELEASE_RATE`]; it counts messages and no bytes.
+fn previous_run_release_limit() -> RateLimit {
+    RateLimit { bytes: 0, datagrams: PREVIOUS_RUN_RELEASE_RATE }
+}
--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -19,7 +19,7 @@
                 ClientRequest::None
             }
             (Kind::Open, Some(sid)) => {
-                self.previous_run.record(now, sid);
+                self.record_sid(now, conn, sid);
                 self.handle_set_up(now, conn, sid, message)
             }
             (Kind::Close, Some(sid)) => match self.call_by_sid.get(&sid).copied() {
@@ -28,7 +28,9 @@
                     ClientRequest::Clear(call)
                 }
                 _ if self.cancel_repeated(conn, sid) => ClientRequest::None,
-                None if self.previous_run.may_contain(now, sid) => ClientRequest::ReleasePreviousRun(sid),
+                None if self.may_release_previous_run(now, conn, sid) => {
+                    ClientRequest::ReleasePreviousRun(sid)
+                }
                 _ => {
                     self.counts.unknown_call += 1;
                     ClientRequest::None
@@ -48,6 +50,21 @@
         request
     }
 
+    /// Remembers a sid as one of this run.
+    fn record_sid(&mut self, now: Micros, conn: ConnId, sid: Sid) {
+        let Some(c) = self.connections.get_mut(&conn) else { return };
+        if c.recorded_sids < MAX_SIDS_OF_CONNECTION {
+            c.recorded_sids += 1;
+            self.previous_run.record(now, sid);
+        }
+    }
+
+    /// Whether a release may be passed on as one of a call of the previous run.
+    fn may_release_previous_run(&mut self, now: Micros, conn: ConnId, sid: Sid) -> bool {
+        let Some(c) = self.connections.get_mut(&conn) else { return false };
+        self.previous_run.may_contain(now, sid) && c.previous_run_releases.take(now, 0, 0.0)
+    }
+
     /// An established call may be released on any connection, a set-up only be cancelled on its own, so that a client
     /// that makes up sids can't cancel the set-ups of others.
     pub(super) fn may_clear(&self, conn: ConnId, call: CallId) -> bool {
--- a/src/protocol/client/mod.rs
+++ b/src/protocol/client/mod.rs
@@ -24,6 +24,7 @@
 use serde_json::Value;
 use set_up_content::{ContentHash, ContentHasher};
 use std::collections::{BTreeMap, HashMap};
+use walnuthatch_gossip::rate_limit::{RateLimit, TokenBucket};
 
 /// An unconfirmed release is resent for this long (µs).
 const RELEASE_RETRY_PERIOD: Micros = 8_000_000;
@@ -51,6 +52,12 @@
 const MAX_REFUSED_UNUSED: u32 = 8;
 /// Longest remaining time that a client may state in a set-up (µs).
 const MAX_REMAINING_TIME: Micros = 600_000_000;
+/// Releases of calls of the previous run that a connection may pass on (per second, with a burst of half as many). Each
+/// goes to every exchange, since the one that has the call is not known.
+const PREVIOUS_RUN_RELEASE_RATE: u32 = 400;
+/// Largest number of sids of a connection that are remembered as being of this run, so that no client can use up the
+/// memory that all share for it.
+const MAX_SIDS_OF_CONNECTION: u32 = 40_000;
 /// Largest number of abandoned set-ups that are remembered.
 const MAX_ABANDONED: usize = 20_000;
 /// Largest number of answers that are kept; each may have 16 KiB.
@@ -163,7 +170,7 @@
     pub set_up_while_closing: u64,
     /// Set-ups refused because too many were open on a connection on which no call was ever established.
     pub too_many_open: u64,
-    /// Releases of calls that are unknown or belong to another client.
+    /// Releases of calls that are unknown or belong to another client, or beyond [`PREVIOUS_RUN_RELEASE_RATE`].
     pub unknown_call: u64,
     /// Messages of types that clients should not send.
     pub unexpected: u64,
@@ -207,6 +214,10 @@
     partial_since: Option<Micros>,
     /// Whether a set-up was received on this connection.
     received_set_up: bool,
+    /// Number of its sids that were remembered as being of this run.
+    recorded_sids: u32,
+    /// Limits the releases of calls of the previous run.
+    previous_run_releases: TokenBucket,
     /// Whether the connection is being closed: no new set-ups are accepted, and it closes once all that were read are
     /// answered.
     closing: bool,
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -190,3 +190,21 @@
     println!("longest time to an answer: {longest:?}");
     assert!(longest < LATENCY_OBJECTIVE);
 }
+
+/// Guards against the same by a client that releases calls under ever new sids: each was passed on to all exchanges as
+/// a call of the previous run, until their connections were given up.
+#[test]
+fn one_client_that_releases_unknown_calls_does_not_delay_the_calls_of_others() {
+    let (program, callers, _exchanges) = start_with_exchanges(2);
+    let mut number = 100;
+    let longest = longest_time_to_answer_beside(callers, move || {
+        let first = number;
+        number += 100;
+        (first..number).map(|n| format!("{}\n", close_message(&sid(n), 16))).collect::<String>().into_bytes()
+    });
+    println!("longest time to an answer: {longest:?}");
+    assert!(longest < LATENCY_OBJECTIVE);
+    program.signal("USR1");
+    let counters = program.wait_for_log("calls.offered");
+    assert!(counters.contains("exchanges.connects=2"), "no connection to an exchange is lost: {counters}");
+}
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -1014,6 +1014,39 @@
     assert_eq!(clients.message(20 * MS, conn, Message::close(Sid(7), 16)), ClientRequest::Clear(CallId(1)));
 }
 
+fn is_passed_on(clients: &mut ClientConnections, now: Micros, conn: ConnId, sid: u64) -> bool {
+    let request = clients.message(now, conn, Message::close(Sid(sid), 16));
+    request == ClientRequest::ReleasePreviousRun(Sid(sid))
+}
+
+/// Guards against a client that releases calls under ever new sids after a restart: each release goes to every exchange,
+/// and their connections were given up under the load.
+#[test]
+fn releases_of_unknown_calls_are_passed_on_at_a_limited_rate_for_each_connection() {
+    let (mut clients, conn) = clients_with_connection();
+    clients.opened(0, ConnId(1));
+    let passed_on =
+        (0..10_000).filter(|&n| is_passed_on(&mut clients, Micros::try_from(n * 100).unwrap(), conn, n));
+    // The burst, and one second.
+    let passed_on = passed_on.count();
+    assert!((500..=601).contains(&passed_on), "{passed_on} releases within a second");
+    assert!(is_passed_on(&mut clients, 1_000 * MS, ConnId(1), 20_000), "others are not affected");
+}
+
+/// Guards against a client that uses ever new sids after a restart: when the memory for sids of this run was used up, no
+/// release of a call of the previous run was passed on any more.
+#[test]
+fn releases_of_the_previous_run_are_passed_on_whatever_sids_one_client_uses() {
+    let (mut clients, conn) = clients_with_connection();
+    clients.opened(0, ConnId(1));
+    offer(&mut clients, 0, conn, 1, CallId(1));
+    clients.answer(0, CallId(1), Answer::Established(None));
+    for n in 2..300_000 {
+        set_up(&mut clients, MS, conn, n);
+    }
+    assert!(is_passed_on(&mut clients, 2 * MS, ConnId(1), 1_000_000));
+}
+
 #[test]
 fn a_draining_connection_stays_open_until_the_releases_of_its_calls_are_confirmed() {
     let (mut clients, conn) = clients_with_connection();
