Limit the open set-ups of a connection, and refuse those that an exchange's queue can't take

Cause: the limit of open set-ups ended with the first established call, and a full send queue was taken for a dead reader.

Change: 1,000 open set-ups for each connection, more are refused with cause 42 and a wait; set-ups may fill half of the send queue to an exchange, and one without room is not sent and its call refused. A call's description is dropped once it is established. It works because memory and queue now have a bound that one client cannot pass.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -16,6 +16,8 @@
     pub malformed: u64,
     /// Connections cut because the other side did not read and the outbox was full.
     pub overflows: u64,
+    /// Set-ups not sent because too much was queued on the connection to their exchange.
+    pub set_ups_not_sent: u64,
     /// Callers' connections accepted.
     pub accepted: u64,
     /// Events received from the coordinator.
@@ -59,6 +61,7 @@
         ("wire.messages_out", wire.messages_out),
         ("wire.malformed", wire.malformed),
         ("wire.overflows", wire.overflows),
+        ("wire.set_ups_not_sent", wire.set_ups_not_sent),
         ("callers.accepted", wire.accepted),
         ("callers.turned_away", client.over_limit),
         ("callers.spoilt", client.malformed),
--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -530,6 +530,12 @@
                 self.outboxes.insert((Side::Exchanges, conn), outbox.clone());
                 self.commands.push(TransportCommand::Connect(conn, address, outbox));
             }
+            UpstreamOutput::Send { conn, message: _, set_up: Some(call) }
+                if !self.has_room_for_set_up(conn) =>
+            {
+                self.counts.set_ups_not_sent += 1;
+                self.upstream.set_up_not_sent(call);
+            }
             UpstreamOutput::Send { conn, message, set_up } => {
                 self.send(Side::Exchanges, conn, set_up, &message);
             }
@@ -635,6 +641,12 @@
         Some(message)
     }
 
+    /// Whether the connection to an exchange takes another set-up. True for one that is ending, with which its set-ups
+    /// end as well.
+    fn has_room_for_set_up(&self, conn: ConnId) -> bool {
+        self.outboxes.get(&(Side::Exchanges, conn)).is_none_or(Outbox::has_room_for_set_up)
+    }
+
     fn send(&mut self, side: Side, conn: ConnId, set_up: Option<CallId>, message: &Message) {
         let Some(outbox) = self.outboxes.get(&(side, conn)) else { return };
         self.counts.messages_out += 1;
--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -105,11 +105,10 @@
         sid: Sid,
         message: Message,
     ) -> ClientRequest {
-        if self
-            .connections
-            .get(&conn)
-            .is_some_and(|c| !c.ever_established && c.open_set_ups >= MAX_OPEN_UNUSED)
-        {
+        let is_full = |c: &ClientConnection| {
+            c.open_set_ups >= if c.ever_established { MAX_OPEN } else { MAX_OPEN_UNUSED }
+        };
+        if self.connections.get(&conn).is_some_and(is_full) {
             self.counts.too_many_open += 1;
             self.refuse_set_up(now, conn, congestion_refusal(sid));
             return ClientRequest::None;
--- a/src/protocol/client/mod.rs
+++ b/src/protocol/client/mod.rs
@@ -44,8 +44,11 @@
 const FIRST_SET_UP_WAIT: Micros = 100_000;
 /// Largest number of open set-ups on a connection on which no call was ever established; more are refused.
 const MAX_OPEN_UNUSED: usize = 100;
-/// Retry delay in the refusal of a set-up because of [`MAX_OPEN_UNUSED`], or because it arrived while its connection was
-/// being closed (ms).
+/// Largest number of open set-ups on any other connection; more are refused. Limits the memory that one client takes, also
+/// with set-ups of 16 KiB.
+const MAX_OPEN: usize = 1_000;
+/// Retry delay in the refusal of a set-up because of [`MAX_OPEN_UNUSED`] or [`MAX_OPEN`], or because it arrived while its
+/// connection was being closed (ms).
 const CONGESTION_RETRY_AFTER_MS: &str = "1000";
 /// A connection on which no call was ever established is closed after this many refused or failed set-ups: its client
 /// might resend the same ones at once, forever.
@@ -168,7 +171,7 @@
     pub duplicate_sid: u64,
     /// Set-ups refused because they arrived while their connection was being closed.
     pub set_up_while_closing: u64,
-    /// Set-ups refused because too many were open on a connection on which no call was ever established.
+    /// Set-ups refused because too many were open on their connection.
     pub too_many_open: u64,
     /// Releases of calls that are unknown or belong to another client, or beyond [`PREVIOUS_RUN_RELEASE_RATE`].
     pub unknown_call: u64,
--- a/src/protocol/upstream/calls.rs
+++ b/src/protocol/upstream/calls.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// A set-up was not sent, because its exchange does not read as fast as set-ups come.
+    pub fn set_up_not_sent(&mut self, call: CallId) {
+        if self.attempt_of(call).is_some_and(|a| matches!(a.stage, Stage::Sent(_))) {
+            self.end_attempt(call, (Ending::NotSent, Cause::None), LoadReport::default());
+        }
+    }
+
     /// Releases a call at its exchange, at once or on the next connection.
     pub(super) fn release_at(&mut self, now: Micros, exchange_id: ExchangeId, sid: Sid) {
         let Some(upstream) = self.upstreams.get_mut(&exchange_id) else { return };
--- a/src/routing/ledger.rs
+++ b/src/routing/ledger.rs
@@ -391,6 +391,8 @@
             return false;
         }
         entry.stage = Stage::Established { attempt, exchange_id, since: now };
+        // Needed for set-ups only.
+        entry.offered.description = None;
         entry.last_attempt =
             Some(LastAttempt { exchange: entry.exchange, setup_time: now - since, failure: None });
         let answer = Answer::Established(description);
--- a/src/transport/outbox.rs
+++ b/src/transport/outbox.rs
@@ -9,6 +9,10 @@
 /// Maximum number of queued bytes. A connection whose reader is too slow for this is aborted.
 pub const CAPACITY_BYTES: usize = 512 * 1024;
 
+/// Maximum number of queued bytes with which a set-up is accepted. The rest is for probes and releases, so that set-ups
+/// alone do not cost a connection.
+const SET_UP_CAPACITY_BYTES: usize = CAPACITY_BYTES / 2;
+
 #[derive(Debug, Default)]
 struct Queue {
     /// Queued lines; a set-up carries the identifier of its call.
@@ -43,6 +47,11 @@
         true
     }
 
+    /// Whether a set-up may be added: the queue is not full of messages that its reader has not taken.
+    pub fn has_room_for_set_up(&self) -> bool {
+        self.queue.borrow().bytes < SET_UP_CAPACITY_BYTES
+    }
+
     /// Removes the set-up of a call if it is still queued, and returns whether it was. A set-up that is queued for a
     /// slow reader must not reach the exchange after it was given up, since it would break the drain limit and the
     /// rule of one attempt at a time.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers for tests that run the program as a process: start, configuration, log and termination.
 #![allow(dead_code)]
 
+pub mod event_loop;
 pub mod hostile;
 pub mod json_lines;
 
--- a/tests/models.rs
+++ b/tests/models.rs
@@ -1047,6 +1047,21 @@
     assert!(is_passed_on(&mut clients, 2 * MS, ConnId(1), 1_000_000));
 }
 
+/// Guards against one client that takes all memory with open set-ups, which may have 16 KiB each.
+#[test]
+fn a_connection_has_a_limited_number_of_open_set_ups() {
+    let (mut clients, conn) = clients_with_connection();
+    offer(&mut clients, 0, conn, 0, CallId(0));
+    clients.answer(0, CallId(0), Answer::Established(None));
+    (1..=1_000).for_each(|n| drop(offer(&mut clients, 0, conn, n, CallId(n as u32))));
+    clients.take_outputs();
+    assert_eq!(set_up(&mut clients, 0, conn, 1_001), ClientRequest::None);
+    let refusal = ClientOutput::Send(conn, Message::close(Sid(1_001), 42).with("wait", "1000"));
+    assert_eq!(clients.take_outputs(), [refusal]);
+    clients.answer(0, CallId(1), Answer::Refused { retry_after: 0 });
+    offer(&mut clients, 0, conn, 1_002, CallId(1_002));
+}
+
 #[test]
 fn a_draining_connection_stays_open_until_the_releases_of_its_calls_are_confirmed() {
     let (mut clients, conn) = clients_with_connection();
