Ignore the unread set-ups of a client that has closed its connection

Cause: the end of a stream is read last, behind all that was sent before it. Evidence: the new test stops the program while a client writes and closes, and the exchange got its set-ups.

Change: before messages are handled, and after each wait for a place in the queue, the system is asked whether the client has closed (rustix, which was in the lock file already). Then its open set-ups are abandoned and further ones ignored; releases take effect. A set-up on an older connection than the one on which it came again is ignored. It works because the system knows of the end when it arrives, whatever is still unread.

--- a/src/program/counters.rs
+++ b/src/program/counters.rs
@@ -68,6 +68,7 @@
         ("callers.idle", client.idle),
         ("callers.unusable", client.invalid_set_up),
         ("callers.repeated", client.duplicate_sid),
+        ("callers.set_up_after_leaving", client.set_up_after_leaving),
         ("callers.crowded", client.too_many_open),
         ("callers.crossed", client.set_up_while_closing),
         ("callers.released_again", client.release_resent),
--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -370,6 +370,10 @@
                     Side::Exchanges => self.upstream.protocol_error(now, conn),
                 }
             }
+            (Side::Callers, ConnEvent::PeerClosed) => {
+                let abandoned = self.callers.peer_closed(now, conn);
+                abandoned.into_iter().for_each(|call| self.ledger.caller_left(now, call));
+            }
             (side, ConnEvent::ReadingStopped) => {
                 if side == Side::Callers {
                     self.callers.reading_stopped(conn);
@@ -393,7 +397,8 @@
                     Side::Exchanges => self.upstream.closed(now, conn, reason),
                 }
             }
-            (Side::Callers, ConnEvent::Connected) | (Side::Exchanges, ConnEvent::Accepted(_)) => {}
+            (Side::Callers, ConnEvent::Connected)
+            | (Side::Exchanges, ConnEvent::Accepted(_) | ConnEvent::PeerClosed) => {}
         }
     }
 
--- a/src/protocol/client/connections.rs
+++ b/src/protocol/client/connections.rs
@@ -20,6 +20,7 @@
             recorded_sids: 0,
             previous_run_releases: TokenBucket::new(now, previous_run_release_limit()),
             closing: false,
+            peer_closed: false,
             reading_stopped: false,
         };
         self.connections.insert(conn, connection);
@@ -47,23 +48,34 @@
             .map(|(&id, _)| id)
     }
 
-    /// A connection has closed. Returns the calls that were still unanswered on it, which are abandoned. Established
+    /// The client has closed a connection from which messages may still be unread. Returns the calls that were still
+    /// unanswered on it, which are abandoned. Set-ups that follow on it are ignored: their client does not wait for them,
+    /// and may have sent them again on another connection.
+    pub fn peer_closed(&mut self, now: Micros, conn: ConnId) -> Vec<CallId> {
+        if let Some(c) = self.connections.get_mut(&conn) {
+            c.peer_closed = true;
+        }
+        self.repeated.retain(|_, r| r.conn != conn);
+        self.answer_repeated_of(now, conn);
+        let lost = self.open_calls_on(conn);
+        for &call in &lost {
+            self.call_cleared(now, call);
+        }
+        lost
+    }
+
+    /// A connection has ended. Returns the calls that were still unanswered on it, which are abandoned. Established
     /// calls are kept, and releases that may have been lost with the connection are sent on another one.
     pub fn closed(&mut self, now: Micros, conn: ConnId) -> Vec<CallId> {
         self.connections.remove(&conn);
-        self.repeated.retain(|_, r| r.conn != conn);
         let maybe_lost = |r: &Release| r.sent.last() == Some(&conn);
         let resend: Vec<Sid> = self.releases.iter().filter(|(_, r)| maybe_lost(r)).map(|(&s, _)| s).collect();
         for sid in resend {
-            // A caller that sent its set-up again has no answer yet, and the release serves as one.
+            // A caller that sent its set-up again on another connection has no answer yet, and the release is one.
             let repeated_on = self.remove_repeated(sid).map(|repeated| repeated.conn);
             self.send_release(now, sid, repeated_on);
         }
-        self.answer_repeated_of(now, conn);
-        let lost = self.open_calls_on(conn);
-        for &call in &lost {
-            self.call_cleared(now, call);
-        }
+        let lost = self.peer_closed(now, conn);
         self.close_drained(now);
         lost
     }
--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -8,8 +8,12 @@
         let Some(c) = self.connections.get_mut(&conn) else { return ClientRequest::None };
         c.last_activity = now;
         c.received_set_up |= message.kind == Kind::Open;
-        let (closing, reading_stopped) = (c.closing, c.reading_stopped);
+        let (closing, reading_stopped, peer_closed) = (c.closing, c.reading_stopped, c.peer_closed);
         let request = match (message.kind, message.sid) {
+            (Kind::Open, Some(_)) if peer_closed => {
+                self.counts.set_up_after_leaving += 1;
+                ClientRequest::None
+            }
             (Kind::Open, Some(sid)) if closing => {
                 // The set-up was sent before the client learned that its connection is being closed.
                 if !reading_stopped && !self.call_by_sid.contains_key(&sid) {
@@ -89,7 +93,9 @@
         if !in_use && !self.differs_from_abandoned(now, sid, &message) {
             return self.accept_set_up(now, conn, sid, message);
         }
-        if !self.handle_repeated(now, conn, sid, &message) {
+        if self.is_superseded(conn, sid, &message) {
+            self.counts.set_up_after_leaving += 1;
+        } else if !self.handle_repeated(now, conn, sid, &message) {
             // No message is sent for the sid: it would be a second answer to the call that has it.
             self.counts.duplicate_sid += 1;
             self.begin_close(now, conn, CloseReason::DuplicateSid);
@@ -105,10 +111,7 @@
         sid: Sid,
         message: Message,
     ) -> ClientRequest {
-        let is_full = |c: &ClientConnection| {
-            c.open_set_ups >= if c.ever_established { MAX_OPEN } else { MAX_OPEN_UNUSED }
-        };
-        if self.connections.get(&conn).is_some_and(is_full) {
+        if self.connections.get(&conn).is_some_and(ClientConnection::is_full) {
             self.counts.too_many_open += 1;
             self.refuse_set_up(now, conn, congestion_refusal(sid));
             return ClientRequest::None;
--- a/src/protocol/client/mod.rs
+++ b/src/protocol/client/mod.rs
@@ -169,6 +169,8 @@
     pub invalid_set_up: u64,
     /// Set-ups with the sid of a call that is open or established; each closed its connection.
     pub duplicate_sid: u64,
+    /// Set-ups ignored because their client had closed their connection, or had sent them again on a newer one.
+    pub set_up_after_leaving: u64,
     /// Set-ups refused because they arrived while their connection was being closed.
     pub set_up_while_closing: u64,
     /// Set-ups refused because too many were open on their connection.
@@ -224,10 +226,24 @@
     /// Whether the connection is being closed: no new set-ups are accepted, and it closes once all that were read are
     /// answered.
     closing: bool,
+    /// Whether the client has closed it, although messages may still be unread.
+    peer_closed: bool,
     /// Whether reading from it has stopped.
     reading_stopped: bool,
 }
 
+impl ClientConnection {
+    /// Whether messages that are sent on it may be read by the client, and further ones be received.
+    fn is_in_service(&self) -> bool {
+        !self.closing && !self.peer_closed
+    }
+
+    /// Whether it has as many open set-ups as it may have.
+    fn is_full(&self) -> bool {
+        self.open_set_ups >= if self.ever_established { MAX_OPEN } else { MAX_OPEN_UNUSED }
+    }
+}
+
 /// The release of an established call, until its caller confirms it.
 #[derive(Debug)]
 struct Release {
--- a/src/protocol/client/releases.rs
+++ b/src/protocol/client/releases.rs
@@ -39,9 +39,9 @@
     /// call.
     pub(super) fn send_release(&mut self, now: Micros, sid: Sid, own: Option<ConnId>) {
         let Some(release) = self.releases.get_mut(&sid).filter(|r| now < r.until) else { return };
-        let usable = |id: &ConnId, c: &ClientConnection| !c.closing && !release.sent.contains(id);
+        let usable = |id: &ConnId, c: &ClientConnection| c.is_in_service() && !release.sent.contains(id);
         let candidates = self.connections.iter().filter(|(id, c)| usable(id, c));
-        let own = own.filter(|c| self.connections.get(c).is_some_and(|c| !c.closing));
+        let own = own.filter(|c| self.connections.get(c).is_some_and(ClientConnection::is_in_service));
         let best = candidates
             .max_by_key(|(&id, c)| (Some(id) == own, c.ever_established, c.last_activity))
             .map(|(&id, _)| id);
--- a/src/protocol/client/repeated.rs
+++ b/src/protocol/client/repeated.rs
@@ -34,12 +34,10 @@
         if !is_repetition || !answer_may_be_unread || self.repeated.contains_key(&sid) {
             return false;
         }
-        let Some(c) = self.connections.get_mut(&conn).filter(|c| c.open_set_ups < MAX_OPEN_UNUSED) else {
-            return false;
-        };
+        let Some(c) = self.connections.get_mut(&conn).filter(|c| !c.is_full()) else { return false };
         c.open_set_ups += 1;
         self.repeated.insert(sid, RepeatedSetUp { conn, message: message.clone(), received_at: now });
-        if self.connections.contains_key(&first_conn) {
+        if self.connections.get(&first_conn).is_some_and(|c| !c.peer_closed) {
             let timer = ClientTimer::RepeatedSetUp(sid);
             self.outputs.push(ClientOutput::SetTimer(now + REPEATED_SET_UP_WAIT, timer));
         } else {
@@ -48,6 +46,11 @@
         true
     }
 
+    /// Whether a set-up is the first sending of one that its client has sent again meanwhile, on a newer connection.
+    pub(super) fn is_superseded(&self, conn: ConnId, sid: Sid, message: &Message) -> bool {
+        self.call_with(sid).is_some_and(|call| call.set_up.conn > conn) && self.is_repetition(sid, message)
+    }
+
     /// Whether the call was answered so recently that its client may not have read the answer, and the answer is kept
     /// for as long as a repeated set-up is held.
     fn was_answered_recently(&mut self, now: Micros, sid: Sid) -> bool {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -43,6 +43,8 @@
     InvalidLine(LineError),
     /// Reading has stopped as requested; events for all received data have been sent before this one.
     ReadingStopped,
+    /// A caller has closed its connection. Messages that it had sent before may still follow.
+    PeerClosed,
     /// A line is incomplete (`true`), or the incomplete line has been completed (`false`).
     PartialLine(bool),
     /// The connection has ended.
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -11,6 +11,7 @@
 use async_io::{Async, Timer};
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::Cell;
 use std::io;
@@ -194,6 +195,14 @@
     }
 }
 
+/// Whether the remote end has closed the connection, although data that it sent before may still be unread.
+fn has_peer_closed(stream: &Async<TcpStream>) -> bool {
+    let mut polled = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+    let now = Timespec::default();
+    // An error means that nothing is known.
+    poll(&mut polled, Some(&now)).is_ok() && !polled[0].revents().is_empty()
+}
+
 async fn write(mut stream: &Async<TcpStream>, outbox: &Outbox) -> CloseReason {
     while let Some(bytes) = outbox.next_batch(CHUNK_BYTES).await {
         if stream.write_all(&bytes).await.is_err() {
@@ -217,6 +226,7 @@
         Side::Callers => MAX_QUEUED_OF_CALLER,
         Side::Exchanges => MAX_QUEUED_OF_EXCHANGE,
     }));
+    let mut peer_closed = false;
     loop {
         let stopped = async {
             // An incomplete line is read to its end first.
@@ -236,6 +246,7 @@
             }
             None => return future::pending().await,
         };
+        let mut check_peer = side == Side::Callers && !peer_closed;
         // Each line is parsed just before it is sent on: parsed, messages take many times the memory of their text.
         let mut sent_message = false;
         for part in buffer[..length].split_inclusive(|&byte| byte == LINE_END) {
@@ -244,7 +255,20 @@
             let event = match received {
                 None => continue,
                 Some(Ok(message)) => {
-                    let permit = permits.acquire_arc().await;
+                    let permit = match permits.try_acquire_arc() {
+                        Some(permit) => permit,
+                        None => {
+                            check_peer = side == Side::Callers && !peer_closed;
+                            permits.acquire_arc().await
+                        }
+                    };
+                    if std::mem::take(&mut check_peer) && has_peer_closed(stream) {
+                        peer_closed = true;
+                        let event = Inbound::Conn(side, conn, ConnEvent::PeerClosed);
+                        if inbox.send(event).await.is_err() {
+                            return CloseReason::ClosedLocally;
+                        }
+                    }
                     ConnEvent::Message(message, permit)
                 }
                 Some(Err(error)) => {
--- a/tests/repeated_set_ups.rs
+++ b/tests/repeated_set_ups.rs
@@ -5,7 +5,8 @@
 
 use common::json_lines::*;
 use serde_json::json;
-use std::net::SocketAddr;
+use std::io::BufRead;
+use std::net::{SocketAddr, TcpListener};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -165,3 +166,46 @@
     exchange.send(ready_message(&sid(1)));
     assert_answered(&mut second_caller, &sid(1));
 }
+
+/// Accepts a connection as an exchange with many free circuits.
+fn accept_with_many_circuits(listener: &TcpListener) -> JsonConnection {
+    let mut connection = JsonConnection::new(listener.accept().unwrap().0);
+    let load = json!({"load": "x0:2000;x1:2000;latency_ms:-1;qps:-1"});
+    connection.send(json!({"msg": "status", "sid": "", "attrs": load}));
+    connection
+}
+
+/// Guards against set-ups that are sent on although their client had left before they were read, one of which ran a second
+/// time when the client came again. What the client released before it left takes effect.
+#[test]
+fn set_ups_that_are_unread_when_their_client_leaves_are_not_sent_on() {
+    let exchange_listener = listener();
+    let (program, callers, mut exchanges) =
+        start_program_with(accept_with_many_circuits, &[&exchange_listener], json!({}));
+    let exchange = &mut exchanges[0];
+    let mut caller = open_call(callers, exchange, &sid(1));
+    exchange.send(ready_message(&sid(1)));
+    assert_answered(&mut caller, &sid(1));
+    // Nothing is read while the program is stopped.
+    program.signal("STOP");
+    let unread: String = (100..250).map(|n| format!("{}\n", open_message(&sid(n), 1, 9000))).collect();
+    caller.send_bytes(unread.as_bytes());
+    caller.send(close_message(&sid(1), 16));
+    drop(caller);
+    let mut second_caller = JsonConnection::connect(callers);
+    second_caller.send(open_message(&sid(105), 1, 9000));
+    sleep(END_SEEN_LATE);
+    program.signal("CONT");
+    let received: Vec<_> = (0..2).map(|_| exchange.receive()).collect();
+    let released = received.iter().any(|m| m["msg"] == "close" && m["sid"] == sid(1));
+    let opened: Vec<_> = received.iter().filter(|m| m["msg"] == "open").map(|m| &m["sid"]).collect();
+    assert!(released && opened == [&json!(sid(105))], "{received:?}");
+    exchange.send(ready_message(&sid(105)));
+    assert_answered(&mut second_caller, &sid(105));
+    exchange.stream.set_read_timeout(Some(Duration::from_millis(700))).unwrap();
+    let mut line = String::new();
+    while exchange.reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+        assert!(!line.contains("open"), "{line}");
+        line.clear();
+    }
+}
