Compute the content hash of a set-up once, when it is received

Cause: each accepted set-up was hashed twice, and a repeated one up to five times, at each place that compared it. Change: the received set-up carries its hash from the start, and a held one keeps it; behaviour is as before.

--- a/src/protocol/client/connections.rs
+++ b/src/protocol/client/connections.rs
@@ -55,7 +55,7 @@
         if let Some(c) = self.connections.get_mut(&conn) {
             c.peer_closed = true;
         }
-        self.repeated.retain(|_, r| r.conn != conn);
+        self.repeated.retain(|_, r| r.set_up.conn != conn);
         self.answer_repeated_of(now, conn);
         let lost = self.open_calls_on(conn);
         for &call in &lost {
@@ -72,7 +72,7 @@
         let resend: Vec<Sid> = self.releases.iter().filter(|(_, r)| maybe_lost(r)).map(|(&s, _)| s).collect();
         for sid in resend {
             // A caller that sent its set-up again on another connection has no answer yet, and the release is one.
-            let repeated_on = self.remove_repeated(sid).map(|repeated| repeated.conn);
+            let repeated_on = self.remove_repeated(sid).map(|repeated| repeated.set_up.conn);
             self.send_release(now, sid, repeated_on);
         }
         let lost = self.peer_closed(now, conn);
--- a/src/protocol/client/messages.rs
+++ b/src/protocol/client/messages.rs
@@ -89,13 +89,15 @@
             self.send_release(now, sid, Some(conn));
             return ClientRequest::None;
         }
+        let key = message.attrs.get("key").cloned();
+        let set_up = ReceivedSetUp { sid, conn, key, content: self.content_hasher.hash(&message) };
         let in_use = self.call_by_sid.contains_key(&sid);
-        if !in_use && !self.differs_from_abandoned(now, sid, &message) {
-            return self.accept_set_up(now, conn, sid, message);
+        if !in_use && !self.differs_from_abandoned(now, &set_up) {
+            return self.accept_set_up(now, set_up, &message);
         }
-        if self.is_superseded(conn, sid, &message) {
+        if self.is_superseded(&set_up) {
             self.counts.set_up_after_leaving += 1;
-        } else if !self.handle_repeated(now, conn, sid, &message) {
+        } else if !self.handle_repeated(now, &set_up, message) {
             // No message is sent for the sid: it would be a second answer to the call that has it.
             self.counts.duplicate_sid += 1;
             self.begin_close(now, conn, CloseReason::DuplicateSid);
@@ -107,23 +109,18 @@
     pub(super) fn accept_set_up(
         &mut self,
         now: Micros,
-        conn: ConnId,
-        sid: Sid,
-        message: Message,
+        set_up: ReceivedSetUp,
+        message: &Message,
     ) -> ClientRequest {
+        let (sid, conn) = (set_up.sid, set_up.conn);
         if self.connections.get(&conn).is_some_and(ClientConnection::is_full) {
             self.counts.too_many_open += 1;
             self.refuse_set_up(now, conn, congestion_refusal(sid));
             return ClientRequest::None;
         }
         let earliest_attempt = self.abandoned.get(now, sid).map_or(0, |entry| entry.until);
-        match self.parse_offer(&message, earliest_attempt) {
-            Some(offer) => {
-                let key = message.attrs.get("key").cloned();
-                let content = self.content_hasher.hash(&message);
-                let set_up = ReceivedSetUp { sid, conn, key, content };
-                ClientRequest::Offer(Box::new(AcceptedSetUp { set_up, offer }))
-            }
+        match self.parse_offer(message, earliest_attempt) {
+            Some(offer) => ClientRequest::Offer(Box::new(AcceptedSetUp { set_up, offer })),
             None => {
                 // An unknown class or an invalid value: failed rather than refused, since a retry of the same
                 // set-up would not help.
--- a/src/protocol/client/repeated.rs
+++ b/src/protocol/client/repeated.rs
@@ -18,7 +18,7 @@
 /// A set-up that is held.
 #[derive(Debug)]
 pub(super) struct RepeatedSetUp {
-    pub(super) conn: ConnId,
+    pub(super) set_up: ReceivedSetUp,
     message: Message,
     received_at: Micros,
 }
@@ -26,17 +26,18 @@
 impl ClientConnections {
     /// Handles a set-up whose sid is in use, if it repeats the set-up of the call that has the sid and that call may have
     /// lost its connection; returns whether it does.
-    pub(super) fn handle_repeated(&mut self, now: Micros, conn: ConnId, sid: Sid, message: &Message) -> bool {
+    pub(super) fn handle_repeated(&mut self, now: Micros, set_up: &ReceivedSetUp, message: Message) -> bool {
+        let (sid, conn) = (set_up.sid, set_up.conn);
         let Some(first) = self.call_with(sid).filter(|call| call.set_up.conn != conn) else { return false };
         let (first_conn, answered) = (first.set_up.conn, first.answered);
-        let is_repetition = self.is_repetition(sid, message);
+        let is_repetition = first.set_up.content == set_up.content;
         let answer_may_be_unread = !answered || self.was_answered_recently(now, sid);
         if !is_repetition || !answer_may_be_unread || self.repeated.contains_key(&sid) {
             return false;
         }
         let Some(c) = self.connections.get_mut(&conn).filter(|c| !c.is_full()) else { return false };
         c.open_set_ups += 1;
-        self.repeated.insert(sid, RepeatedSetUp { conn, message: message.clone(), received_at: now });
+        self.repeated.insert(sid, RepeatedSetUp { set_up: set_up.clone(), message, received_at: now });
         if self.connections.get(&first_conn).is_some_and(|c| !c.peer_closed) {
             let timer = ClientTimer::RepeatedSetUp(sid);
             self.outputs.push(ClientOutput::SetTimer(now + REPEATED_SET_UP_WAIT, timer));
@@ -47,8 +48,10 @@
     }
 
     /// Whether a set-up is the first sending of one that its client has sent again meanwhile, on a newer connection.
-    pub(super) fn is_superseded(&self, conn: ConnId, sid: Sid, message: &Message) -> bool {
-        self.call_with(sid).is_some_and(|call| call.set_up.conn > conn) && self.is_repetition(sid, message)
+    pub(super) fn is_superseded(&self, set_up: &ReceivedSetUp) -> bool {
+        let is_first_sending =
+            |call: &ClientCall| call.set_up.conn > set_up.conn && call.set_up.content == set_up.content;
+        self.call_with(set_up.sid).is_some_and(is_first_sending)
     }
 
     /// Whether the call was answered so recently that its client may not have read the answer, and the answer is kept
@@ -59,20 +62,14 @@
 
     /// Whether a set-up has a sid that another set-up had which was abandoned within the quiet period. Clients use a sid
     /// for one set-up only.
-    pub(super) fn differs_from_abandoned(&mut self, now: Micros, sid: Sid, message: &Message) -> bool {
-        let content = self.content_hasher.hash(message);
-        self.abandoned.get(now, sid).is_some_and(|entry| entry.value != content)
+    pub(super) fn differs_from_abandoned(&mut self, now: Micros, set_up: &ReceivedSetUp) -> bool {
+        self.abandoned.get(now, set_up.sid).is_some_and(|entry| entry.value != set_up.content)
     }
 
     fn call_with(&self, sid: Sid) -> Option<&ClientCall> {
         self.calls.get(self.call_by_sid.get(&sid)?)
     }
 
-    /// Whether this set-up has the content of the call that has its sid.
-    fn is_repetition(&self, sid: Sid, message: &Message) -> bool {
-        self.call_with(sid).is_some_and(|call| call.set_up.content == self.content_hasher.hash(message))
-    }
-
     /// The connection on which these calls were answered has ended: the set-ups that are held for them get the same
     /// answers, since their client has not read the first ones.
     pub(super) fn answer_repeated_of(&mut self, now: Micros, ended: ConnId) {
@@ -86,11 +83,13 @@
     /// belongs to that connection from then on.
     fn answer_repeated(&mut self, now: Micros, sid: Sid) {
         let Some(answer) = self.recent_answers.get(now, sid).map(|entry| entry.value.clone()) else { return };
-        let Some(message) = self.repeated.get(&sid).map(|repeated| &repeated.message) else { return };
-        if !self.is_repetition(sid, message) {
+        let content = self.call_with(sid).map(|call| call.set_up.content);
+        if self.repeated.get(&sid).map(|repeated| repeated.set_up.content) != content {
             return;
         }
-        let Some(RepeatedSetUp { conn, .. }) = self.remove_repeated(sid) else { return };
+        let Some(RepeatedSetUp { set_up: ReceivedSetUp { conn, .. }, .. }) = self.remove_repeated(sid) else {
+            return;
+        };
         let Some(&call) = self.call_by_sid.get(&sid) else { return };
         self.counts.answer_resent += 1;
         self.move_call(call, conn);
@@ -115,8 +114,7 @@
     /// as an attempt of the first call may have run, it waits for the quiet period.
     pub(super) fn sid_released(&mut self, now: Micros, sid: Sid) {
         if let Some(repeated) = self.repeated.get(&sid) {
-            let content = self.content_hasher.hash(&repeated.message);
-            self.abandoned.record(now, sid, content);
+            self.abandoned.record(now, sid, repeated.set_up.content);
             self.outputs.push(ClientOutput::OfferRepeated(sid));
         }
     }
@@ -125,8 +123,8 @@
     /// ledger and reports its id with [`ClientConnections::call_offered`]. `None` if it has ended since, or if it was
     /// invalid and has been answered.
     pub fn take_repeated(&mut self, now: Micros, sid: Sid) -> Option<AcceptedSetUp> {
-        let RepeatedSetUp { conn, message, received_at } = self.remove_repeated(sid)?;
-        match self.accept_set_up(now, conn, sid, message) {
+        let RepeatedSetUp { set_up, message, received_at } = self.remove_repeated(sid)?;
+        match self.accept_set_up(now, set_up, &message) {
             ClientRequest::Offer(mut accepted) => {
                 let new_call = &mut accepted.offer.new_call;
                 new_call.remaining_time = (new_call.remaining_time - (now - received_at)).max(0);
@@ -145,14 +143,14 @@
         }
         if let Some(repeated) = self.remove_repeated(sid) {
             self.counts.duplicate_sid += 1;
-            self.begin_close(now, repeated.conn, CloseReason::DuplicateSid);
+            self.begin_close(now, repeated.set_up.conn, CloseReason::DuplicateSid);
         }
     }
 
     /// Fails the set-ups held on a connection that is being closed.
     pub(super) fn fail_repeated_on(&mut self, conn: ConnId) {
         let held: Vec<Sid> =
-            self.repeated.iter().filter(|(_, r)| r.conn == conn).map(|(&sid, _)| sid).collect();
+            self.repeated.iter().filter(|(_, r)| r.set_up.conn == conn).map(|(&sid, _)| sid).collect();
         for sid in held {
             self.remove_repeated(sid);
             self.send(conn, Message::close(sid, cause::TEMPORARY_FAILURE));
@@ -161,13 +159,13 @@
 
     /// The client cancelled a set-up; returns whether it was held on this connection.
     pub(super) fn cancel_repeated(&mut self, conn: ConnId, sid: Sid) -> bool {
-        let held_here = self.repeated.get(&sid).is_some_and(|r| r.conn == conn);
+        let held_here = self.repeated.get(&sid).is_some_and(|r| r.set_up.conn == conn);
         held_here && self.remove_repeated(sid).is_some()
     }
 
     pub(super) fn remove_repeated(&mut self, sid: Sid) -> Option<RepeatedSetUp> {
         let repeated = self.repeated.remove(&sid)?;
-        if let Some(c) = self.connections.get_mut(&repeated.conn) {
+        if let Some(c) = self.connections.get_mut(&repeated.set_up.conn) {
             c.open_set_ups = c.open_set_ups.saturating_sub(1);
         }
         Some(repeated)
