Split the reading of a connection into reading and passing on of events

Cause: the loop that reads a connection had grown to 90 lines, four levels deep, with the same send in four places, and the end of a caller's call was handed to the ledger in two. Change: one type passes the events of a connection on, with its share of the queue and the report of a closed peer; one function tells the ledger of abandoned calls.

--- a/src/program/event_loop.rs
+++ b/src/program/event_loop.rs
@@ -372,7 +372,7 @@
             }
             (Side::Callers, ConnEvent::PeerClosed) => {
                 let abandoned = self.callers.peer_closed(now, conn);
-                abandoned.into_iter().for_each(|call| self.ledger.caller_left(now, call));
+                self.callers_left(now, abandoned);
             }
             (side, ConnEvent::ReadingStopped) => {
                 if side == Side::Callers {
@@ -392,7 +392,7 @@
                 match side {
                     Side::Callers => {
                         let abandoned = self.callers.closed(now, conn);
-                        abandoned.into_iter().for_each(|call| self.ledger.caller_left(now, call));
+                        self.callers_left(now, abandoned);
                     }
                     Side::Exchanges => self.upstream.closed(now, conn, reason),
                 }
@@ -402,6 +402,10 @@
         }
     }
 
+    fn callers_left(&mut self, now: Micros, abandoned: Vec<CallId>) {
+        abandoned.into_iter().for_each(|call| self.ledger.caller_left(now, call));
+    }
+
     fn accept_connection(&mut self, now: Micros, conn: ConnId, outbox: Outbox) {
         self.counts.accepted += 1;
         tracing::debug!(target: CONNECTIONS_TARGET, conn = conn.0, "caller's connection accepted");
--- a/src/transport/streams.rs
+++ b/src/transport/streams.rs
@@ -212,21 +212,77 @@
     CloseReason::ClosedLocally
 }
 
+/// Passes the events of one connection on to the event loop.
+struct EventSender<'a> {
+    stream: &'a Async<TcpStream>,
+    side: Side,
+    conn: ConnId,
+    inbox: &'a Sender<Inbound>,
+    /// Limits the messages of the connection in the event queue.
+    permits: Arc<Semaphore>,
+    /// Whether the end of a caller's connection has been reported.
+    peer_closed: bool,
+}
+
+impl<'a> EventSender<'a> {
+    fn new(stream: &'a Async<TcpStream>, side: Side, conn: ConnId, inbox: &'a Sender<Inbound>) -> Self {
+        let max_queued = match side {
+            Side::Callers => MAX_QUEUED_OF_CALLER,
+            Side::Exchanges => MAX_QUEUED_OF_EXCHANGE,
+        };
+        let permits = Arc::new(Semaphore::new(max_queued));
+        EventSender { stream, side, conn, inbox, permits, peer_closed: false }
+    }
+
+    async fn send(&self, event: ConnEvent) -> Result<(), SendError<Inbound>> {
+        self.inbox.send(Inbound::Conn(self.side, self.conn, event)).await
+    }
+
+    /// Sends a message once the event queue may take another one of this connection.
+    async fn send_message(&mut self, message: Message) -> Result<(), SendError<Inbound>> {
+        let permit = match self.permits.try_acquire_arc() {
+            Some(permit) => permit,
+            None => {
+                let permit = self.permits.acquire_arc().await;
+                self.report_closed_peer().await?;
+                permit
+            }
+        };
+        self.send(ConnEvent::Message(message, permit)).await
+    }
+
+    /// Reports, once, that a caller has closed its connection. The messages that are still unread follow.
+    async fn report_closed_peer(&mut self) -> Result<(), SendError<Inbound>> {
+        if self.side != Side::Callers || self.peer_closed || !has_peer_closed(self.stream) {
+            return Ok(());
+        }
+        self.peer_closed = true;
+        self.send(ConnEvent::PeerClosed).await
+    }
+}
+
+/// Reads a connection until it ends, and passes its messages on.
 async fn read(
-    mut stream: &Async<TcpStream>,
+    stream: &Async<TcpStream>,
     side: Side,
     conn: ConnId,
     inbox: &Sender<Inbound>,
     outbox: &Outbox,
     invalid_line: &Cell<bool>,
 ) -> CloseReason {
+    let events = EventSender::new(stream, side, conn, inbox);
+    // Sending fails only when the event loop has ended.
+    read_messages(stream, events, outbox, invalid_line).await.unwrap_or(CloseReason::ClosedLocally)
+}
+
+async fn read_messages(
+    mut stream: &Async<TcpStream>,
+    mut events: EventSender<'_>,
+    outbox: &Outbox,
+    invalid_line: &Cell<bool>,
+) -> Result<CloseReason, SendError<Inbound>> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let (mut lines, mut partial) = (LineSplitter::default(), false);
-    let permits = Arc::new(Semaphore::new(match side {
-        Side::Callers => MAX_QUEUED_OF_CALLER,
-        Side::Exchanges => MAX_QUEUED_OF_EXCHANGE,
-    }));
-    let mut peer_closed = false;
     loop {
         let stopped = async {
             // An incomplete line is read to its end first.
@@ -238,65 +294,41 @@
         };
         // What has arrived before the request to stop is read first: the remote end counts it as taken.
         let length = match future::or(async { Some(stream.read(&mut buffer).await) }, stopped).await {
-            Some(Ok(0)) => return CloseReason::ClosedByPeer,
+            Some(Ok(0)) => return Ok(CloseReason::ClosedByPeer),
             Some(Ok(length)) => length,
-            Some(Err(_)) => return CloseReason::Broken,
-            None if inbox.send(Inbound::Conn(side, conn, ConnEvent::ReadingStopped)).await.is_err() => {
-                return CloseReason::ClosedLocally;
+            Some(Err(_)) => return Ok(CloseReason::Broken),
+            None => {
+                events.send(ConnEvent::ReadingStopped).await?;
+                return future::pending().await;
             }
-            None => return future::pending().await,
         };
-        let mut check_peer = side == Side::Callers && !peer_closed;
+        events.report_closed_peer().await?;
         // Each line is parsed just before it is sent on: parsed, messages take many times the memory of their text.
         let mut sent_message = false;
         for part in buffer[..length].split_inclusive(|&byte| byte == LINE_END) {
             let mut received = None;
             lines.push(part, |line| received = Some(line.and_then(Message::parse)));
-            let event = match received {
+            match received {
                 None => continue,
-                Some(Ok(message)) => {
-                    let permit = match permits.try_acquire_arc() {
-                        Some(permit) => permit,
-                        None => {
-                            check_peer = side == Side::Callers && !peer_closed;
-                            permits.acquire_arc().await
-                        }
-                    };
-                    if std::mem::take(&mut check_peer) && has_peer_closed(stream) {
-                        peer_closed = true;
-                        let event = Inbound::Conn(side, conn, ConnEvent::PeerClosed);
-                        if inbox.send(event).await.is_err() {
-                            return CloseReason::ClosedLocally;
-                        }
-                    }
-                    ConnEvent::Message(message, permit)
-                }
+                Some(Ok(message)) => events.send_message(message).await?,
                 Some(Err(error)) => {
                     invalid_line.set(true);
-                    ConnEvent::InvalidLine(error)
+                    if partial {
+                        events.send(ConnEvent::PartialLine(false)).await?;
+                    }
+                    events.send(ConnEvent::InvalidLine(error)).await?;
+                    // Nothing more is read, so TCP flow control stops the sender. The event loop closes the connection
+                    // when it handles the invalid line.
+                    return future::pending().await;
                 }
-            };
-            sent_message = true;
-            if inbox.send(Inbound::Conn(side, conn, event)).await.is_err() {
-                return CloseReason::ClosedLocally;
-            }
-            if invalid_line.get() {
-                break;
             }
+            sent_message = true;
         }
         // An incomplete line is reported when it begins, so that its timeout runs from then on, however slowly the rest
         // arrives.
-        let was_partial = std::mem::replace(&mut partial, lines.has_partial_line() && !invalid_line.get());
+        let was_partial = std::mem::replace(&mut partial, lines.has_partial_line());
         if partial != was_partial || (partial && sent_message) {
-            let event = ConnEvent::PartialLine(partial);
-            if inbox.send(Inbound::Conn(side, conn, event)).await.is_err() {
-                return CloseReason::ClosedLocally;
-            }
-        }
-        if invalid_line.get() {
-            // Nothing more is read, so TCP flow control stops the sender. The event loop closes the connection when it
-            // handles the invalid line.
-            return future::pending().await;
+            events.send(ConnEvent::PartialLine(partial)).await?;
         }
     }
 }
