--- a/tests/common/event_loop.rs
+++ b/tests/common/event_loop.rs
@@ -22,7 +22,6 @@
 pub struct EventLoopWithCaller {
     pub event_loop: EventLoop,
     pub to_exchange: Outbox,
-    pub to_caller: Outbox,
 }
 
 impl EventLoopWithCaller {
@@ -36,11 +35,10 @@
             _ => None,
         };
         let to_exchange = event_loop.take_commands().into_iter().find_map(connect).unwrap();
-        let to_caller = Outbox::default();
-        let accepted = ConnEvent::Accepted(to_caller.clone());
+        let accepted = ConnEvent::Accepted(Outbox::default());
         event_loop.handle(now, Inbound::Conn(Side::Exchanges, CONN, ConnEvent::Connected));
         event_loop.handle(now, Inbound::Conn(Side::Callers, CONN, accepted));
-        let mut started = EventLoopWithCaller { event_loop, to_exchange, to_caller };
+        let mut started = EventLoopWithCaller { event_loop, to_exchange };
         started.receive(now, Side::Exchanges, &status.parse().unwrap());
         started.receive(now, Side::Callers, &open_message(&sid(0), 1, 9_000));
         started.receive(now, Side::Exchanges, &json!({"msg": "ready", "sid": sid(0), "attrs": {}}));
--- a/tests/common/hostile.rs
+++ b/tests/common/hostile.rs
@@ -2,17 +2,14 @@
 #![allow(dead_code)]
 
 use super::json_lines::JsonConnection;
-use super::{wait_until, Program};
+use super::{memory_kib, wait_until, Program};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// The peak resident memory of the program since its start (bytes).
 pub fn peak_memory(program: &Program) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let kib: u64 = line.trim().trim_end_matches("kB").trim().parse().unwrap();
-    kib * 1024
+    memory_kib(&program.child.id().to_string(), "VmHWM") * 1024
 }
 
 /// Size of what is read or written at once.
--- a/tests/common/json_lines.rs
+++ b/tests/common/json_lines.rs
@@ -107,6 +107,10 @@
 pub const STATUS_MESSAGE: &str =
     "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"x0:20;x1:20;latency_ms:-1;qps:-1\"}}\n";
 
+/// An exchange's status report: 2,000 of 2,000 circuits are free.
+pub const MANY_CIRCUITS_STATUS_MESSAGE: &str =
+    "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"x0:2000;x1:2000;latency_ms:-1;qps:-1\"}}\n";
+
 /// Accepts a connection as an exchange that sends the initial status report and no other.
 pub fn accept_reporting_once(listener: &TcpListener) -> JsonConnection {
     let mut connection = JsonConnection::new(listener.accept().unwrap().0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod event_loop;
 pub mod hostile;
 pub mod json_lines;
+pub mod standins;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
@@ -52,6 +53,13 @@
     path
 }
 
+/// A figure of the memory of a process (KiB), by its name in `/proc/PROCESS/status`; `self` is this process.
+pub fn memory_kib(process: &str, name: &str) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let figure = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')).unwrap();
+    figure.trim().trim_end_matches("kB").trim().parse().unwrap()
+}
+
 /// The running program; killed on drop.
 pub struct Program {
     pub child: Child,
--- a/tests/event_loop_memory.rs
+++ b/tests/event_loop_memory.rs
@@ -4,6 +4,7 @@
 
 use common::event_loop::EventLoopWithCaller;
 use common::json_lines::{close_message, open_message, sid, STATUS_MESSAGE};
+use common::memory_kib;
 use walnuthatch::routing::interface::Micros;
 use walnuthatch::transport::Side;
 
@@ -20,12 +21,6 @@
 /// How long the client states that it waits, the longest time that is accepted (ms).
 const REMAINING_MS: u32 = 600_000;
 
-fn resident_kib() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-    line.trim().trim_end_matches("kB").trim().parse().unwrap()
-}
-
 /// Guards against memory that grows with each cancelled set-up: its timers were kept until its client would have
 /// stopped waiting, for up to ten minutes.
 #[test]
@@ -38,7 +33,7 @@
             event_loop.receive(now, Side::Callers, &open_message(&sid(n), 1, REMAINING_MS));
             event_loop.receive(now, Side::Callers, &close_message(&sid(n), 16));
         }
-        resident_kib()
+        memory_kib("self", "VmRSS")
     };
     let before = cancel_set_ups(1, WARM_UP);
     let after = cancel_set_ups(1 + WARM_UP, MEASURED);
--- a/tests/event_loop_overload.rs
+++ b/tests/event_loop_overload.rs
@@ -3,15 +3,12 @@
 mod common;
 
 use common::event_loop::EventLoopWithCaller;
-use common::json_lines::{open_message, sid};
+use common::json_lines::{open_message, sid, MANY_CIRCUITS_STATUS_MESSAGE};
 use serde_json::json;
 use walnuthatch::routing::interface::Micros;
 use walnuthatch::transport::outbox::CAPACITY_BYTES;
 use walnuthatch::transport::Side;
 
-/// The status report of an exchange with many free circuits.
-const STATUS_MESSAGE: &str =
-    "{\"msg\":\"status\",\"sid\":\"\",\"attrs\":{\"load\":\"x0:2000;x1:2000;latency_ms:-1;qps:-1\"}}";
 /// Time between two set-ups (µs).
 const SET_UP_INTERVAL: Micros = 100;
 /// Size of a description in a set-up (bytes).
@@ -22,7 +19,7 @@
 #[test]
 fn set_ups_that_an_exchange_does_not_read_do_not_cost_its_connection() {
     let mut now = 100_000_000;
-    let mut event_loop = EventLoopWithCaller::start(now, STATUS_MESSAGE);
+    let mut event_loop = EventLoopWithCaller::start(now, MANY_CIRCUITS_STATUS_MESSAGE);
     let set_ups = 4 * CAPACITY_BYTES / DESCRIPTION_BYTES;
     for n in 1..=set_ups as u32 {
         now += SET_UP_INTERVAL;
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -4,8 +4,9 @@
 
 use common::hostile::{peak_memory, time_to_answer, wait_until_idle, HostileClient};
 use common::json_lines::*;
-use common::{config, temp_file, Program};
-use serde_json::{json, Value};
+use common::standins::start_with_exchanges;
+use common::Program;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -13,7 +14,6 @@
 use std::time::{Duration, Instant};
 use walnuthatch::protocol::fields::MAX_FIELDS;
 use walnuthatch::protocol::json_lines::Message;
-use walnuthatch_standin::{Exchange, ExchangeConfig};
 
 /// The platform's memory limit (bytes); a process that exceeds it is killed.
 const MEMORY_LIMIT: u64 = 192 * 1024 * 1024;
@@ -28,22 +28,6 @@
 /// Largest size of a line that is read (bytes).
 const MAX_LINE_BYTES: usize = 16 * 1024;
 
-/// Starts the program with exchanges that answer each set-up at once and hold its call for 100 ms.
-fn start_with_exchanges(count: u16) -> (Program, SocketAddr, Vec<Exchange>) {
-    let (delay, hold) = (Duration::from_millis(1), Duration::from_millis(100));
-    let exchange_config = ExchangeConfig { circuits: 2_000, delay, hold, seed: 7 };
-    let exchanges: Vec<Exchange> =
-        (0..count).map(|_| Exchange::start(None, exchange_config).unwrap()).collect();
-    let members: Vec<Value> =
-        (1..).zip(&exchanges).map(|(n, e)| member(&format!("s-{n}"), e.address(), n, "up")).collect();
-    let limits = json!({"sockets": 1024, "memory_mb": 192});
-    let known = json!({"index": 3, "updates": [list_update(3, true, &members)]});
-    let config = config(json!({"known": known, "limits": limits}));
-    let program = Program::start(&[("--config", &temp_file("config.json", &config.to_string()))], &[]);
-    let callers = program.listen_address("callers");
-    (program, callers, exchanges)
-}
-
 /// Lets many clients write what `next` returns, as much as the program takes.
 fn write_from_many(callers: SocketAddr, mut next: impl FnMut() -> Vec<u8>) {
     let mut clients: Vec<HostileClient> = (0..CLIENTS).map(|_| HostileClient::new(callers)).collect();
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -3,13 +3,13 @@
 mod common;
 
 use common::json_lines::*;
-use common::{config, temp_file, Program};
+use common::standins::start_with_exchanges;
+use common::{memory_kib, Program};
 use serde_json::json;
 use std::fs;
 use std::io::Write;
 use std::thread;
 use std::time::Duration;
-use walnuthatch_standin::{Exchange, ExchangeConfig};
 
 /// Number of rounds, and connections per round: in total about the load of one fault trial.
 const ROUNDS: u32 = 20;
@@ -21,21 +21,14 @@
 
 /// Resident memory (KiB) and number of open descriptors.
 fn resource_usage(program: &Program) -> (u64, usize) {
-    let id = program.child.id();
-    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-    let memory = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
-    let memory = memory.trim().trim_end_matches("kB").trim().parse().unwrap();
-    (memory, fs::read_dir(format!("/proc/{id}/fd")).unwrap().count())
+    let id = program.child.id().to_string();
+    let descriptors = fs::read_dir(format!("/proc/{id}/fd")).unwrap().count();
+    (memory_kib(&id, "VmRSS"), descriptors)
 }
 
 #[test]
 fn memory_and_descriptors_do_not_grow_over_twenty_rounds_of_calls() {
-    let (delay, hold) = (Duration::from_millis(1), Duration::from_millis(100));
-    let exchange = Exchange::start(None, ExchangeConfig { circuits: 2_000, delay, hold, seed: 7 }).unwrap();
-    let member = member("s-1", exchange.address(), 1, "up");
-    let all = config(json!({"known": {"index": 3, "updates": [list_update(3, true, &[member])]}}));
-    let program = Program::start(&[("--config", &temp_file("config.json", &all.to_string()))], &[]);
-    let callers = program.listen_address("callers");
+    let (program, callers, _exchanges) = start_with_exchanges(1);
     let mut rounds = Vec::new();
     for round in 0..ROUNDS {
         let mut lines: Vec<JsonConnection> =
--- a/tests/repeated_set_ups.rs
+++ b/tests/repeated_set_ups.rs
@@ -170,8 +170,7 @@
 /// Accepts a connection as an exchange with many free circuits.
 fn accept_with_many_circuits(listener: &TcpListener) -> JsonConnection {
     let mut connection = JsonConnection::new(listener.accept().unwrap().0);
-    let load = json!({"load": "x0:2000;x1:2000;latency_ms:-1;qps:-1"});
-    connection.send(json!({"msg": "status", "sid": "", "attrs": load}));
+    connection.send_bytes(MANY_CIRCUITS_STATUS_MESSAGE.as_bytes());
     connection
 }
 
