--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -5,6 +5,7 @@
 use common::json_lines::*;
 use common::{wait_until, TEST_TIMEOUT};
 use serde_json::{json, Value};
+use std::io::BufRead;
 use std::net::TcpListener;
 use std::sync::mpsc;
 use std::thread;
@@ -129,3 +130,56 @@
     second.send_event(&list_update(4, true, &members));
     wait_for_connection(&added);
 }
+
+/// Time after an event within which set-ups that it forbids may still be sent (`stopSendingWithin` of the settings), with
+/// some more for the event itself.
+const DRAIN_GRACE: Duration = Duration::from_millis(400);
+/// How long a set-up that must not come is waited for.
+const SET_UP_WAIT: Duration = Duration::from_secs(3);
+
+/// Asserts that the connection ends, or stays silent, without a set-up.
+fn assert_no_set_up(exchange: &mut JsonConnection) {
+    exchange.stream.set_read_timeout(Some(SET_UP_WAIT)).unwrap();
+    let mut line = String::new();
+    while exchange.reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+        assert!(!line.contains("\"open\""), "{line}");
+        line.clear();
+    }
+}
+
+/// Guards against work for an exchange that has gone being sent to another one, which is listed at its address before the
+/// old one is listed as removed.
+#[test]
+fn a_new_exchange_at_the_address_of_another_is_not_taken_for_it() {
+    let (exchange_listener, coordinator_listener) = (listener(), listener());
+    let (_program, callers, mut exchanges) =
+        start_program(&[&exchange_listener], with_coordinator(&coordinator_listener));
+    let mut stream = CoordinatorStream::accept(&coordinator_listener);
+    // The old process ends, and the program connects to whatever listens at its address.
+    exchanges.clear();
+    let mut old_connection = accept_reporting(&exchange_listener);
+    let address = exchange_listener.local_addr().unwrap();
+    stream.send_event(&list_update(4, false, &[member("s-2", address, 2, "up")]));
+    let _new_connection = accept_reporting(&exchange_listener);
+    thread::sleep(DRAIN_GRACE);
+    let mut caller = JsonConnection::connect(callers);
+    caller.send(open_message(&sid(1), 1, 3_000));
+    assert_no_set_up(&mut old_connection);
+}
+
+/// Guards against work that goes to the old address of an exchange that is listed at another one, where another process
+/// may have come up.
+#[test]
+fn set_ups_for_an_exchange_that_is_listed_at_another_address_do_not_go_to_the_old_one() {
+    let (old_listener, new_listener, coordinator_listener) = (listener(), listener(), listener());
+    let (_program, callers, mut exchanges) =
+        start_program(&[&old_listener], with_coordinator(&coordinator_listener));
+    let mut stream = CoordinatorStream::accept(&coordinator_listener);
+    let address = new_listener.local_addr().unwrap();
+    stream.send_event(&list_update(4, false, &[member("s-1", address, 1, "up")]));
+    thread::sleep(DRAIN_GRACE);
+    let mut caller = JsonConnection::connect(callers);
+    caller.send(open_message(&sid(1), 1, 3_000));
+    assert_no_set_up(&mut exchanges[0]);
+    wait_for_connection(&new_listener);
+}
